--- /dev/null
+++ b/martenlead/__init__.py
@@ -0,0 +1,1 @@
+"""martenlead: a router before runners that keep some of many models loaded."""
--- /dev/null
+++ b/martenlead/benchlink/__main__.py
@@ -0,0 +1,3 @@
+from martenlead.benchlink.wire import main
+
+main()
--- /dev/null
+++ b/martenlead/brain.py
@@ -0,0 +1,554 @@
+"""Every decision of a dispatcher: where a task goes, which copies are held, what is given up.
+
+Called by engine.py: `background` and `task` give generators that yield what they want done and are resumed
+with what came of it; `heard`, `ordered`, `probed` and `roster` tell what was observed. `runner` and `model`
+make the objects that stand for ids at the door. The types of both directions stand in interface.py; docs/design.md
+tells what is kept of the design and what departs from it.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Iterable
+from random import Random
+from typing import Any
+from zlib import crc32
+
+from martenlead.interface import (
+    NEVER_RAN,
+    Action,
+    Answer,
+    AskRoster,
+    CallOff,
+    Effect,
+    Group,
+    HandOff,
+    ModelFacts,
+    Order,
+    Report,
+    Result,
+    RunnerFacts,
+    Scrap,
+    Settings,
+    State,
+    Steps,
+    Task,
+    TurnBack,
+    Wait,
+    Warmth,
+)
+
+MS = 1_000_000
+SECOND = 1000 * MS
+PERIOD = SECOND  # of the check; short against the shortest keep-alive, so that no renewal is missed
+HIGH, LOW = 0.8, 0.6  # the design's dead band
+NEW_COPIES = 2  # a model and period, as the design starts
+GAPS = 6  # a last copy is kept for so many of the model's mean gaps
+CREDIT_EARNED, CREDIT_MOST = 0.2, 10.0  # an answer earns, a further hand-off costs 1
+FIRST_WIDTH = 8.0
+BIN = math.log(1.5)
+
+
+class Histogram:
+    """Latencies in bins half as wide again as the last, halved once they hold much: old news fades."""
+
+    __slots__ = ("bins", "total")
+
+    def __init__(self) -> None:
+        self.bins = [0.0] * 24
+        self.total = 0.0
+
+    def add(self, lag: int) -> None:
+        at = int(math.log(max(lag, MS) / MS) / BIN)
+        self.bins[min(at, 23)] += 1
+        self.total += 1
+        if self.total > 60:
+            self.bins = [n / 2 for n in self.bins]
+            self.total /= 2
+
+    def quantile(self, share: float) -> int:
+        left = share * self.total
+        for at, n in enumerate(self.bins):
+            if n >= left and n:
+                return int(MS * math.exp(BIN * (at + max(0.1, left / n))))
+            left -= n
+        return 0
+
+    def mean(self) -> int:
+        weight = sum(n * math.exp(BIN * (at + 0.5)) for at, n in enumerate(self.bins))
+        return int(MS * weight / self.total) if self.total else 0
+
+
+class Copy:
+    """One runner's copies of one model, as this dispatcher believes in them."""
+
+    __slots__ = ("held", "latency", "model", "ordered", "out", "runner", "stands", "touched")
+
+    def __init__(self, runner: Runner, model: Model) -> None:
+        self.runner, self.model = runner, model
+        self.latency = Histogram()
+        self.out = 0
+        self.held = False  # by an order of ours, to be renewed
+        self.stands = False  # loaded, to our knowledge
+        self.touched = 0  # last use or order: the idle time runs from here at the earliest
+        self.ordered = 0  # the order still out, since when
+
+
+class Runner:
+    __slots__ = ("cold_next", "credit", "facts", "heard", "latency", "out", "silent", "told", "waiting", "width", "widened")
+
+    def __init__(self, facts: RunnerFacts, now: int) -> None:
+        self.facts = facts
+        self.told = now
+        self.out = 0
+        self.credit = 1.0
+        self.width = FIRST_WIDTH
+        self.widened = 0
+        self.heard = now
+        self.silent = 0  # hand-offs unanswered in a row
+        self.waiting = 0  # since when an answer is overdue
+        self.cold_next = 0
+        self.latency = Histogram()
+
+
+class Model:
+    __slots__ = ("asks", "copies", "counts", "facts", "first", "home", "last", "latency", "order", "order_made", "tasks")
+
+    def __init__(self, facts: ModelFacts, now: int) -> None:
+        self.facts = facts
+        self.copies: dict[Runner, Copy] = {}
+        self.latency = Histogram()
+        self.home: Runner | None = None
+        self.order: list[Runner] = []
+        self.order_made = -1
+        self.counts = [0, 0, 0]  # tasks of this second, this period, the last period
+        self.first = now
+        self.last = 0
+        self.tasks = 0
+        self.asks = 0
+
+
+class Brain:
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings = settings
+        chance = Random(seed)
+        self.pick = chance.random
+        self.now = 0
+        self.runners: list[Runner] = []
+        self.roster_version = 0
+        self.models: dict[Model, None] = {}
+        self.latency = Histogram()
+        self.taken: deque[int] = deque()
+        self.orders: deque[int] = deque()
+        self.rate = 0.0  # satisfied tasks a second, slowly
+        self.satisfied = 0
+        self.soft = min((o.soft_limit for o in settings.offerings), default=SECOND)
+
+    # -- objects for the door, and news of the roster
+
+    def runner(self, facts: RunnerFacts) -> Runner:
+        return Runner(facts, self.now)
+
+    def model(self, facts: ModelFacts) -> Model:
+        model = Model(facts, self.now)
+        self.models[model] = None
+        return model
+
+    def roster(self, news: Iterable[tuple[Any, RunnerFacts]], whole: bool) -> None:
+        listed = {}
+        for runner, facts in news:
+            listed[runner] = None
+            if facts.state is not State.UP and runner.facts.state is State.UP:
+                runner.told = self.now
+            if facts.since != runner.facts.since and runner in self.runners:
+                self.forget(runner)
+            runner.facts = facts
+        kept = [] if whole else [r for r in self.runners if r not in listed]
+        for runner in self.runners:
+            if whole and runner not in listed:
+                runner.facts.state = State.GONE
+                runner.told = self.now
+        self.runners = kept + [r for r in listed if r.facts.state is not State.GONE]
+        self.runners.sort(key=lambda r: r.facts.mark)
+        for runner in listed:
+            if runner.facts.state is not State.UP:
+                self.forget(runner)
+        self.roster_version += 1
+
+    def forget(self, runner: Runner) -> None:
+        """A process that restarted or goes holds nothing that was held before."""
+        for model in self.models:
+            if runner in model.copies:
+                copy = model.copies[runner]
+                copy.held = copy.stands = False
+        runner.silent = runner.waiting = 0
+        runner.heard = self.now
+
+    # -- what is asked of the fleet
+
+    def background(self) -> list[Steps]:
+        steps = [self.checks()]
+        if self.settings.asks_roster:
+            steps.append(self.ask_roster())
+        return steps
+
+    def ask_roster(self) -> Steps:
+        while True:
+            yield AskRoster()
+            yield Wait(self.now + self.settings.roster_every)
+
+    def checks(self) -> Steps:
+        """The periodic check of every model, the ones with most tasks first."""
+        while True:
+            yield Wait(self.now + PERIOD)
+            self.rate += 0.2 * (self.satisfied * SECOND / PERIOD - self.rate)
+            self.satisfied = 0
+            models = sorted(self.models, key=lambda m: (-m.counts[1], m.facts.mark))
+            for model in models:
+                model.counts = [0, 0, model.counts[1]]
+                if model.copies:
+                    yield from self.check(model, model.counts[2] * SECOND / PERIOD)
+
+    def check(self, model: Model, rate: float) -> Steps:
+        if not self.settings.orders:
+            return
+        need = rate * self.settings.front_ends
+        held = [c for c in model.copies.values() if c.held and self.usable(c.runner)]
+        most = sum(self.capacity(c) for c in held)
+        added = 0
+        while need > HIGH * most and added < NEW_COPIES and not self.loading(model):
+            runner = self.next_place(model)
+            if runner is None:
+                break
+            copy = self.copy(model, runner)
+            if not self.may_order(runner):
+                break
+            copy.held = True
+            if not (copy.stands and copy.touched + self.settings.keep // 2 > self.now):
+                yield self.order(copy)
+            most += self.capacity(copy)
+            held.append(copy)
+            added += 1
+        if added == 0 and need < LOW * most and len(held) > 1:
+            weakest = min(held, key=lambda c: (self.capacity(c), c.runner.facts.mark))
+            if need <= HIGH * (most - self.capacity(weakest)):
+                weakest.held = False
+                held.remove(weakest)
+        if len(held) == 1 and not self.wanted(model):
+            held.pop().held = False
+        for copy in held:
+            if self.now - copy.touched > self.settings.keep // 2 and not copy.ordered:
+                if self.may_order(copy.runner):
+                    yield self.order(copy)
+                elif self.now - copy.touched > self.settings.keep:
+                    copy.held = copy.stands = False
+
+    def wanted(self, model: Model) -> bool:
+        """One-off models deserve no copies; the others are kept for some of their mean gaps."""
+        if model.tasks < 2:
+            return False
+        gap = (model.last - model.first) // (model.tasks - 1)
+        return self.now - model.last < max(PERIOD, GAPS * gap)
+
+    def loading(self, model: Model) -> bool:
+        return any(c.ordered and not c.stands for c in model.copies.values())
+
+    def capacity(self, copy: Copy) -> float:
+        own, all_copies = copy.latency, copy.model.latency
+        lag = self.run_latency(own if own.total >= 3 else all_copies)
+        if not lag:
+            lag = self.run_latency(self.latency) or self.soft // 4
+        if lag > self.soft:
+            return 0.0
+        return min(copy.model.facts.lanes * SECOND / lag, max(1.0, self.fair(copy.runner)))
+
+    def fair(self, runner: Runner) -> float:
+        """A runner's part of all tasks: no copy counts for more, since lanes are often more than cores."""
+        weight = sum(r.facts.weight for r in self.runners)
+        return self.rate * self.settings.front_ends * runner.facts.weight / weight if weight else 0.0
+
+    def run_latency(self, latency: Histogram) -> int:
+        return latency.mean() if self.settings.tells_warm else latency.quantile(0.25)
+
+    def shared_order(self, model: Model) -> list[Runner]:
+        if model.order_made != self.roster_version:
+            model.order_made = self.roster_version
+
+            def draw(runner: Runner) -> float:
+                mixed = crc32(b"%d %d" % (model.facts.mark, runner.facts.mark))
+                return -math.log((mixed + 1) / 2**32) / max(runner.facts.weight, 1e-9)
+
+            model.order = sorted(self.runners, key=draw)
+        return model.order
+
+    def next_place(self, model: Model) -> Runner | None:
+        for runner in self.shared_order(model):
+            copy = model.copies.get(runner)
+            if self.usable(runner) and not self.cold(runner) and not (copy and copy.held):
+                return runner
+        return None
+
+    def order(self, copy: Copy, copies: int = 1) -> Order:
+        if copies:
+            copy.ordered = copy.touched = self.now
+            self.orders.append(self.now)
+        return Order(copy.runner, copy.model, copies)
+
+    def may_order(self, runner: Runner) -> bool:
+        """The ration, counted with a tick to spare on both sides, and the drain rule for orders."""
+        s = self.settings
+        if not self.may_go(runner):
+            return False
+        if not s.ration_window:
+            return True
+        while self.orders and self.orders[0] < self.now - s.ration_window - 2 * s.tick:
+            self.orders.popleft()
+        while self.taken and self.taken[0] < self.now - s.ration_window + 2 * s.tick:
+            self.taken.popleft()
+        return len(self.orders) + 1 <= s.ration_free + s.ration_share * len(self.taken)
+
+    def ordered(self, order: Order, result: Result, copies: int) -> None:
+        copy = self.copy(order.model, order.runner)
+        if order.copies:
+            copy.ordered = 0
+        else:
+            order.model.asks -= 1
+        if result in (Result.SATISFIED, Result.FULL, Result.ERROR):
+            self.alive(order.runner)
+            copy.stands = copies > 0
+            if copy.stands and not order.copies:
+                copy.touched = max(copy.touched, self.now - self.settings.keep // 2)
+        elif result is not Result.SATISFIED:
+            copy.stands = copy.held = False
+        if order.copies and not copy.stands:
+            copy.held = False
+
+    def reported(self, runner: Any, report: Report) -> None:
+        pass
+
+    def probed(self, runner: Any, result: Result, report: Report | None) -> None:
+        if result is Result.SATISFIED:
+            self.alive(runner)
+
+    # -- which runner may take what
+
+    def may_go(self, runner: Runner) -> bool:
+        return runner.facts.state is State.UP and runner in self.runners
+
+    def usable(self, runner: Runner) -> bool:
+        return self.may_go(runner) and not self.quiet(runner)
+
+    def quiet(self, runner: Runner) -> bool:
+        """Answers that stop: unreachable, or tasks out and nothing heard for long. One trial now and then."""
+        if runner.silent >= 2:
+            return self.now < runner.waiting + SECOND
+        return runner.out > 0 and self.now - max(runner.heard, runner.waiting) > 2 * self.soft
+
+    def alive(self, runner: Runner) -> None:
+        runner.heard = self.now
+        runner.silent = 0
+
+    def cold(self, runner: Runner) -> bool:
+        return bool(runner.facts.since) and self.now - runner.facts.since < self.settings.cold
+
+    def cold_gap(self, runner: Runner) -> int:
+        """Time between tasks to a cold runner: half of this dispatcher's own part of what it stands.
+
+        The satisfied tasks of all dispatchers, a runner, are no more than a warm runner can do; each
+        dispatcher counts its own only, so uneven traffic keeps the sum.
+        """
+        s = self.settings
+        share = s.cold_from + (1 - s.cold_from) * (self.now - runner.facts.since) / max(s.cold, 1)
+        rate = 0.5 * s.fall_multiple * share * self.rate / max(1, len(self.runners))
+        return int(SECOND / max(rate, 0.05))
+
+    def room(self, runner: Runner) -> bool:
+        if self.cold(runner) and self.now < runner.cold_next:
+            return False
+        return runner.out < runner.width
+
+    def place(self, task: Task, but: set[Runner]) -> Runner | None:
+        """Where last seen warm; else the less busy of two random holders; else next in the shared order."""
+        model = task.model
+        fits = [
+            c
+            for c in model.copies.values()
+            if (c.stands or c.ordered) and c.runner not in but and self.fit(task, c.runner)
+        ]
+        warm = [c for c in fits if c.stands]
+        home = model.copies.get(model.home) if model.home else None
+        if home in warm and home.out < model.facts.lanes:
+            return home.runner
+        holders = warm or fits
+        if holders:
+            first = holders[int(self.pick() * len(holders))]
+            second = holders[int(self.pick() * len(holders))]
+            return min(first, second, key=lambda c: (c.runner.out + 1) / c.runner.facts.weight).runner
+        if any(c.stands and not self.quiet(c.runner) for c in model.copies.values()) and not but:
+            return None
+        for runner in self.shared_order(model):
+            if runner not in but and self.fit(task, runner):
+                return runner
+        return None
+
+    def fit(self, task: Task, runner: Runner) -> bool:
+        return self.usable(runner) and self.room(runner) and self.may_repeat(task, runner)
+
+    def may_repeat(self, task: Task, runner: Runner) -> bool:
+        """No effect twice: the rule's guard, asked before each hand-off."""
+        ran = [h for h in task.hand_offs if h.result not in NEVER_RAN]
+        if not self.settings.twice_out and any(h.result is None for h in ran):
+            return False
+        offering = task.offering
+        if not ran or offering.effect is Effect.IDEMPOTENT:
+            return True
+        if offering.effect is Effect.UNREPEATABLE:
+            return False
+        if self.now + 4 * self.settings.tick >= ran[0].sent + offering.window:
+            return False
+        a, b = ran[0].runner.facts, runner.facts
+        if offering.group is Group.ALL:
+            return True
+        return a.zone == b.zone if offering.group is Group.ZONE else (a.zone, a.cell) == (b.zone, b.cell)
+
+    def may_turn_back(self, task: Task) -> bool:
+        if task.offering.effect is Effect.IDEMPOTENT:
+            return True
+        if all(h.result in NEVER_RAN for h in task.hand_offs):
+            return True
+        return task.offering.effect is Effect.DEDUPLICATED and task.offering.group is Group.ALL
+
+    # -- a task from end to end
+
+    def task(self, task: Task) -> Steps:
+        model, s = task.model, self.settings
+        yield from self.count(task)
+        last = task.give_up - 3 * s.tick
+        tried: set[Runner] = set()
+        while self.now < last and len(task.hand_offs) < s.hand_offs:
+            further = bool(task.hand_offs)
+            runner = self.place(task, tried | {r for r in self.runners if further and r.credit < 1})
+            if runner is None:
+                break
+            if further:
+                runner.credit -= 1
+            tried.add(runner)
+            hand_off = self.hand_off(task, runner, last)
+            yield hand_off
+            while hand_off.result is None:
+                answer = yield Wait(min(last + s.tick, self.now + self.soft // 2))
+                if answer is not None and answer.final:
+                    return
+                if answer is None and self.gone_quiet(hand_off) and len(task.hand_offs) < s.hand_offs:
+                    if s.twice_out:
+                        break
+                    if s.call_off:
+                        yield CallOff(hand_off)
+            if model.copies[runner].out == 0 and hand_off.result is Result.MISSING:
+                model.copies[runner].stands = False
+        while any(h.result is None for h in task.hand_offs):
+            answer = yield Wait(last + s.tick)
+            if answer is None or answer.final:
+                break
+            continue
+        if any(h.result is Result.SATISFIED for h in task.hand_offs):
+            return
+        yield self.give_up(task)
+
+    def give_up(self, task: Task) -> Action:
+        if self.may_turn_back(task):
+            return TurnBack(task, self.settings.turn_back_wait)
+        return Scrap(task)
+
+    def count(self, task: Task) -> Steps:
+        """Notes a task; a first sight asks where the model stands, a rate above Rmax runs the check at once."""
+        model, s = task.model, self.settings
+        self.taken.append(self.now)
+        if not s.ration_window and len(self.taken) > 1:
+            self.taken.popleft()
+        if not model.tasks and s.orders:
+            for runner in self.runners:
+                if self.usable(runner):
+                    model.asks += 1
+                    yield self.order(self.copy(model, runner), 0)
+            until = self.now + 10 * MS
+            while model.asks and self.now < until:
+                yield Wait(self.now + s.tick)
+        model.tasks += 1
+        model.last = self.now
+        if not task.again:
+            model.counts[0] += 1
+            model.counts[1] += 1
+        held = sum(self.capacity(c) for c in model.copies.values() if c.held)
+        if model.tasks > 1 and model.counts[0] * s.front_ends > held:
+            yield from self.check(model, model.counts[0])
+
+    def hand_off(self, task: Task, runner: Runner, last: int) -> HandOff:
+        copy = self.copy(task.model, runner)
+        runner.out += 1
+        copy.out += 1
+        if runner.out == 1:
+            runner.waiting = self.now
+        if self.cold(runner):
+            runner.cold_next = self.now + self.cold_gap(runner)
+        hand_off = HandOff(task, runner, last - self.now, self.now, int(copy.stands))
+        if not copy.stands and not copy.ordered:
+            copy.ordered = self.now
+        task.hand_offs.append(hand_off)
+        return hand_off
+
+    def gone_quiet(self, hand_off: HandOff) -> bool:
+        return hand_off.runner.heard < hand_off.sent and bool(hand_off.expected)
+
+    def copy(self, model: Model, runner: Runner) -> Copy:
+        if runner not in model.copies:
+            model.copies[runner] = Copy(runner, model)
+        return model.copies[runner]
+
+    # -- what answers teach
+
+    def heard(self, answer: Answer) -> None:
+        hand_off, result = answer.hand_off, answer.result
+        task, runner, lag = hand_off.task, hand_off.runner, answer.lag
+        model, copy = task.model, self.copy(task.model, runner)
+        hand_off.result = result
+        runner.out -= 1
+        copy.out -= 1
+        if result in (Result.SATISFIED, Result.ERROR, Result.FULL, Result.MISSING):
+            self.alive(runner)
+        if result is Result.SATISFIED:
+            self.satisfied += 1
+            runner.credit = min(CREDIT_MOST, runner.credit + CREDIT_EARNED)
+            copy.touched = max(copy.touched, self.now)
+            copy.ordered = 0
+            warm = answer.warmth is Warmth.WARM if self.settings.tells_warm else bool(hand_off.expected)
+            copy.stands = True
+            model.home = runner
+            if warm:
+                for latency in (copy.latency, model.latency, runner.latency, self.latency):
+                    latency.add(lag)
+                self.widen(runner, lag, task.offering.soft_limit)
+            elif not self.settings.tells_warm:
+                model.latency.add(lag)
+        elif result is Result.MISSING:
+            copy.stands, copy.ordered = False, 0
+        elif result is Result.FULL:
+            self.widen(runner, 2 * task.offering.soft_limit, task.offering.soft_limit)
+        elif result in (Result.UNREACHED, Result.BROKEN):
+            runner.silent += 1
+            runner.waiting = self.now
+            if model.home is runner:
+                model.home = None
+        elif result is Result.SILENT and runner.heard < hand_off.sent:
+            runner.silent += 1
+            runner.waiting = self.now
+
+    def widen(self, runner: Runner, lag: int, soft: int) -> None:
+        """Own tasks at a runner: one more a full round in time, a tenth fewer when late, once a soft limit."""
+        if lag <= soft // 2:
+            if runner.out + 1 > runner.width / 2:
+                runner.width += 1 / runner.width
+        elif lag > soft and self.now - runner.widened > soft:
+            runner.widened = self.now
+            runner.width = max(2.0, runner.width * 0.9)
--- /dev/null
+++ b/martenlead/engine.py
@@ -0,0 +1,85 @@
+"""Resumes the decision module's generators: with answers as they come, with None when a wait is over.
+
+The same engine is meant for the real dispatcher: it knows neither wire nor clock, only an outlet for what
+the module wants done and the time it is told.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from heapq import heappop, heappush
+
+from martenlead.brain import Brain
+from martenlead.interface import Action, Answer, Order, Report, Result, Steps, Task, Wait
+
+
+class Process:
+    """One running generator and the wait that it stands in."""
+
+    __slots__ = ("alive", "steps", "turn")
+
+    def __init__(self, steps: Steps) -> None:
+        self.steps = steps
+        self.turn = 0
+        self.alive = True
+
+
+class Engine:
+    def __init__(self, brain: Brain, outlet: Callable[[Action], None]) -> None:
+        self.brain = brain
+        self.outlet = outlet
+        self._due: list[tuple[int, int, Process, int]] = []
+        self._count = 0
+
+    def begin(self) -> None:
+        for steps in self.brain.background():
+            self._resume(Process(steps), None)
+
+    def take(self, task: Task) -> None:
+        task.process = Process(self.brain.task(task))
+        self._resume(task.process, None)
+
+    def answered(self, answer: Answer) -> None:
+        self.brain.heard(answer)
+        self._resume(answer.hand_off.task.process, answer)
+
+    def ordered(self, order: Order, result: Result, copies: int) -> None:
+        self.brain.ordered(order, result, copies)
+
+    def probed(self, runner: object, result: Result, report: Report | None) -> None:
+        self.brain.probed(runner, result, report)
+
+    def closed(self, task: Task) -> None:
+        if task.process.alive:
+            task.process.alive = False
+            task.process.steps.close()
+
+    def due(self) -> int | None:
+        while self._due and not self._waiting(self._due[0]):
+            heappop(self._due)
+        return self._due[0][0] if self._due else None
+
+    def advance(self, now: int) -> None:
+        while self._due and self._due[0][0] <= now:
+            entry = heappop(self._due)
+            if self._waiting(entry):
+                self._resume(entry[2], None)
+
+    @staticmethod
+    def _waiting(entry: tuple[int, int, Process, int]) -> bool:
+        return entry[2].alive and entry[2].turn == entry[3]
+
+    def _resume(self, process: Process, value: Answer | None) -> None:
+        if not process.alive:
+            return
+        process.turn += 1
+        try:
+            action = process.steps.send(value) if process.turn > 1 else next(process.steps)
+            while not isinstance(action, Wait):
+                self.outlet(action)
+                action = process.steps.send(None)
+        except StopIteration:
+            process.alive = False
+            return
+        self._count += 1
+        heappush(self._due, (action.until, self._count, process, process.turn))
