--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -47,6 +47,8 @@
 GAPS = 6  # a last copy is kept for so many of the model's mean gaps
 CREDIT_EARNED, CREDIT_MOST = 0.2, 10.0  # an answer earns, a further hand-off costs 1
 FIRST_WIDTH = 8.0
+CROWDED = 1.5  # own tasks at a runner, against its part of all that are out
+FAIR = 0.5  # of a runner's part of all tasks: what one copy counts for at most
 BIN = math.log(1.5)
 
 
@@ -83,7 +85,7 @@
 class Copy:
     """One runner's copies of one model, as this dispatcher believes in them."""
 
-    __slots__ = ("held", "latency", "model", "ordered", "out", "runner", "stands", "touched")
+    __slots__ = ("held", "latency", "model", "ordered", "out", "refused", "runner", "stands", "touched")
 
     def __init__(self, runner: Runner, model: Model) -> None:
         self.runner, self.model = runner, model
@@ -92,16 +94,18 @@
         self.held = False  # by an order of ours, to be renewed
         self.stands = False  # loaded, to our knowledge
         self.touched = 0  # last use or order: the idle time runs from here at the earliest
+        self.refused = -1 << 62  # when an order for it failed
         self.ordered = 0  # the order still out, since when
 
 
 class Runner:
-    __slots__ = ("cold_next", "credit", "facts", "heard", "latency", "out", "silent", "told", "waiting", "width", "widened")
+    __slots__ = ("cold_next", "credit", "facts", "heard", "latency", "out", "running", "silent", "told", "waiting", "width", "widened")
 
     def __init__(self, facts: RunnerFacts, now: int) -> None:
         self.facts = facts
         self.told = now
-        self.out = 0
+        self.out = 0  # all hand-offs
+        self.running = 0  # those that should have met a copy
         self.credit = 1.0
         self.width = FIRST_WIDTH
         self.widened = 0
@@ -113,7 +117,7 @@
 
 
 class Model:
-    __slots__ = ("asks", "copies", "counts", "facts", "first", "home", "last", "latency", "order", "order_made", "tasks")
+    __slots__ = ("added", "asks", "copies", "counts", "facts", "first", "home", "last", "latency", "order", "order_made", "tasks")
 
     def __init__(self, facts: ModelFacts, now: int) -> None:
         self.facts = facts
@@ -127,6 +131,7 @@
         self.last = 0
         self.tasks = 0
         self.asks = 0
+        self.added = 0
 
 
 class Brain:
@@ -207,6 +212,7 @@
             models = sorted(self.models, key=lambda m: (-m.counts[1], m.facts.mark))
             for model in models:
                 model.counts = [0, 0, model.counts[1]]
+                model.added = 0
                 if model.copies:
                     yield from self.check(model, model.counts[2] * SECOND / PERIOD)
 
@@ -216,8 +222,7 @@
         need = rate * self.settings.front_ends
         held = [c for c in model.copies.values() if c.held and self.usable(c.runner)]
         most = sum(self.capacity(c) for c in held)
-        added = 0
-        while need > HIGH * most and added < NEW_COPIES and not self.loading(model):
+        while need > HIGH * most and model.added < NEW_COPIES:
             runner = self.next_place(model)
             if runner is None:
                 break
@@ -229,8 +234,8 @@
                 yield self.order(copy)
             most += self.capacity(copy)
             held.append(copy)
-            added += 1
-        if added == 0 and need < LOW * most and len(held) > 1:
+            model.added += 1
+        if not model.added and need < LOW * most and len(held) > 1:
             weakest = min(held, key=lambda c: (self.capacity(c), c.runner.facts.mark))
             if need <= HIGH * (most - self.capacity(weakest)):
                 weakest.held = False
@@ -251,9 +256,6 @@
         gap = (model.last - model.first) // (model.tasks - 1)
         return self.now - model.last < max(PERIOD, GAPS * gap)
 
-    def loading(self, model: Model) -> bool:
-        return any(c.ordered and not c.stands for c in model.copies.values())
-
     def capacity(self, copy: Copy) -> float:
         own, all_copies = copy.latency, copy.model.latency
         lag = self.run_latency(own if own.total >= 3 else all_copies)
@@ -261,7 +263,7 @@
             lag = self.run_latency(self.latency) or self.soft // 4
         if lag > self.soft:
             return 0.0
-        return min(copy.model.facts.lanes * SECOND / lag, max(1.0, self.fair(copy.runner)))
+        return min(copy.model.facts.lanes * SECOND / lag, max(1.0, FAIR * self.fair(copy.runner)))
 
     def fair(self, runner: Runner) -> float:
         """A runner's part of all tasks: no copy counts for more, since lanes are often more than cores."""
@@ -285,7 +287,9 @@
     def next_place(self, model: Model) -> Runner | None:
         for runner in self.shared_order(model):
             copy = model.copies.get(runner)
-            if self.usable(runner) and not self.cold(runner) and not (copy and copy.held):
+            if not self.usable(runner) or self.cold(runner) or self.crowded(runner):
+                continue
+            if copy is None or not (copy.held or self.now < copy.refused + self.settings.keep // 2):
                 return runner
         return None
 
@@ -323,6 +327,7 @@
             copy.stands = copy.held = False
         if order.copies and not copy.stands:
             copy.held = False
+            copy.refused = self.now
 
     def reported(self, runner: Any, report: Report) -> None:
         pass
@@ -366,32 +371,35 @@
     def room(self, runner: Runner) -> bool:
         if self.cold(runner) and self.now < runner.cold_next:
             return False
-        return runner.out < runner.width
+        return runner.running < runner.width
 
     def place(self, task: Task, but: set[Runner]) -> Runner | None:
         """Where last seen warm; else the less busy of two random holders; else next in the shared order."""
         model = task.model
-        fits = [
-            c
-            for c in model.copies.values()
-            if (c.stands or c.ordered) and c.runner not in but and self.fit(task, c.runner)
-        ]
-        warm = [c for c in fits if c.stands]
+        known = [c for c in model.copies.values() if (self.warm(c) or c.ordered) and self.usable(c.runner)]
+        fits = [c for c in known if c.runner not in but and self.fit(task, c.runner)]
+        warm = [c for c in fits if self.warm(c)]
         home = model.copies.get(model.home) if model.home else None
-        if home in warm and home.out < model.facts.lanes:
+        if home in warm and home.out < model.facts.lanes and not self.crowded(home.runner):
             return home.runner
-        holders = warm or fits
+        holders = [c for c in warm if not self.crowded(c.runner)] or warm or fits
         if holders:
             first = holders[int(self.pick() * len(holders))]
             second = holders[int(self.pick() * len(holders))]
             return min(first, second, key=lambda c: (c.runner.out + 1) / c.runner.facts.weight).runner
-        if any(c.stands and not self.quiet(c.runner) for c in model.copies.values()) and not but:
+        if known:  # a load where the holders are full would push out what others need
             return None
         for runner in self.shared_order(model):
             if runner not in but and self.fit(task, runner):
                 return runner
         return None
 
+    def crowded(self, runner: Runner) -> bool:
+        """Lanes are often more than cores: a runner with twice its part of our tasks out is no home."""
+        weight = sum(r.facts.weight for r in self.runners)
+        out = sum(r.running for r in self.runners)
+        return runner.running > 2 + CROWDED * out * runner.facts.weight / weight
+
     def fit(self, task: Task, runner: Runner) -> bool:
         return self.usable(runner) and self.room(runner) and self.may_repeat(task, runner)
 
@@ -475,6 +483,8 @@
             until = self.now + 10 * MS
             while model.asks and self.now < until:
                 yield Wait(self.now + s.tick)
+            standing = (r for r in self.shared_order(model) if r in model.copies and self.warm(model.copies[r]))
+            model.home = next(standing, None)
         model.tasks += 1
         model.last = self.now
         if not task.again:
@@ -492,15 +502,20 @@
             runner.waiting = self.now
         if self.cold(runner):
             runner.cold_next = self.now + self.cold_gap(runner)
-        hand_off = HandOff(task, runner, last - self.now, self.now, int(copy.stands))
+        hand_off = HandOff(task, runner, last - self.now, self.now, int(self.warm(copy)))
         if not copy.stands and not copy.ordered:
             copy.ordered = self.now
+        runner.running += hand_off.expected
         task.hand_offs.append(hand_off)
         return hand_off
 
     def gone_quiet(self, hand_off: HandOff) -> bool:
         return hand_off.runner.heard < hand_off.sent and bool(hand_off.expected)
 
+    def warm(self, copy: Copy) -> bool:
+        """An idle copy may lapse once its keep-alive has passed: belief in it ends there too."""
+        return copy.stands and self.now < copy.touched + self.settings.keep
+
     def copy(self, model: Model, runner: Runner) -> Copy:
         if runner not in model.copies:
             model.copies[runner] = Copy(runner, model)
@@ -514,17 +529,19 @@
         model, copy = task.model, self.copy(task.model, runner)
         hand_off.result = result
         runner.out -= 1
+        runner.running -= hand_off.expected
         copy.out -= 1
         if result in (Result.SATISFIED, Result.ERROR, Result.FULL, Result.MISSING):
             self.alive(runner)
         if result is Result.SATISFIED:
             self.satisfied += 1
             runner.credit = min(CREDIT_MOST, runner.credit + CREDIT_EARNED)
+            warm = answer.warmth is Warmth.WARM if self.settings.tells_warm else bool(hand_off.expected)
+            if model.home is None or not self.warm(model.copies[model.home]):
+                model.home = runner
             copy.touched = max(copy.touched, self.now)
             copy.ordered = 0
-            warm = answer.warmth is Warmth.WARM if self.settings.tells_warm else bool(hand_off.expected)
             copy.stands = True
-            model.home = runner
             if warm:
                 for latency in (copy.latency, model.latency, runner.latency, self.latency):
                     latency.add(lag)
@@ -547,7 +564,7 @@
     def widen(self, runner: Runner, lag: int, soft: int) -> None:
         """Own tasks at a runner: one more a full round in time, a tenth fewer when late, once a soft limit."""
         if lag <= soft // 2:
-            if runner.out + 1 > runner.width / 2:
+            if runner.running + 1 > runner.width / 2:
                 runner.width += 1 / runner.width
         elif lag > soft and self.now - runner.widened > soft:
             runner.widened = self.now
