--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -379,6 +379,7 @@
         known = [c for c in model.copies.values() if (self.warm(c) or c.ordered) and self.usable(c.runner)]
         fits = [c for c in known if c.runner not in but and self.fit(task, c.runner)]
         warm = [c for c in fits if self.warm(c)]
+        warm = [c for c in warm if c.held] or warm  # what no order holds may lapse
         home = model.copies.get(model.home) if model.home else None
         if home in warm and home.out < model.facts.lanes and not self.crowded(home.runner):
             return home.runner
