--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -41,13 +41,13 @@
 
 MS = 1_000_000
 SECOND = 1000 * MS
-PERIOD = SECOND  # of the check; short against the shortest keep-alive, so that no renewal is missed
 HIGH, LOW = 0.8, 0.6  # the design's dead band
 NEW_COPIES = 2  # a model and period, as the design starts
 GAPS = 6  # a last copy is kept for so many of the model's mean gaps
 CREDIT_EARNED, CREDIT_MOST = 0.2, 10.0  # an answer earns, a further hand-off costs 1
 FIRST_WIDTH = 8.0
-CROWDED = 1.5  # own tasks at a runner, against its part of all that are out
+CHOICES = 3  # runners of the shared order that a new copy is chosen from
+CROWDED = 1.3  # own tasks at a runner, against its part of all that are out
 FAIR = 0.5  # of a runner's part of all tasks: what one copy counts for at most
 BIN = math.log(1.5)
 
@@ -99,13 +99,17 @@
 
 
 class Runner:
-    __slots__ = ("cold_next", "credit", "facts", "heard", "latency", "out", "running", "silent", "told", "waiting", "width", "widened")
+    __slots__ = (
+        "area", "cold_next", "credit", "facts", "heard", "latency", "load", "out", "running",
+        "silent", "told", "waiting", "weighed", "widened", "width",
+    )  # fmt: skip
 
     def __init__(self, facts: RunnerFacts, now: int) -> None:
         self.facts = facts
         self.told = now
         self.out = 0  # all hand-offs
         self.running = 0  # those that should have met a copy
+        self.weighed, self.area, self.load = now, 0, 0.0  # their mean over the last periods
         self.credit = 1.0
         self.width = FIRST_WIDTH
         self.widened = 0
@@ -117,7 +121,10 @@
 
 
 class Model:
-    __slots__ = ("added", "asks", "copies", "counts", "facts", "first", "home", "last", "latency", "order", "order_made", "tasks")
+    __slots__ = (
+        "added", "asks", "copies", "counts", "facts", "first", "home", "last", "latency", "order",
+        "order_made", "second", "tasks",
+    )  # fmt: skip
 
     def __init__(self, facts: ModelFacts, now: int) -> None:
         self.facts = facts
@@ -126,6 +133,7 @@
         self.home: Runner | None = None
         self.order: list[Runner] = []
         self.order_made = -1
+        self.second = now
         self.counts = [0, 0, 0]  # tasks of this second, this period, the last period
         self.first = now
         self.last = 0
@@ -148,6 +156,7 @@
         self.orders: deque[int] = deque()
         self.rate = 0.0  # satisfied tasks a second, slowly
         self.satisfied = 0
+        self.period = max(SECOND, settings.keep // 4)  # renewals need a few periods within the keep-alive
         self.soft = min((o.soft_limit for o in settings.offerings), default=SECOND)
 
     # -- objects for the door, and news of the roster
@@ -206,15 +215,20 @@
     def checks(self) -> Steps:
         """The periodic check of every model, the ones with most tasks first."""
         while True:
-            yield Wait(self.now + PERIOD)
-            self.rate += 0.2 * (self.satisfied * SECOND / PERIOD - self.rate)
+            yield Wait(self.now + self.period)
+            rate = self.satisfied * SECOND / self.period
+            self.rate = (self.rate + rate) / 2 if self.rate else rate
             self.satisfied = 0
+            for runner in self.runners:
+                self.weigh(runner)
+                runner.load, runner.area = (runner.load + runner.area / self.period) / 2, 0
             models = sorted(self.models, key=lambda m: (-m.counts[1], m.facts.mark))
             for model in models:
                 model.counts = [0, 0, model.counts[1]]
+                model.second = self.now
                 model.added = 0
                 if model.copies:
-                    yield from self.check(model, model.counts[2] * SECOND / PERIOD)
+                    yield from self.check(model, model.counts[2] * SECOND / self.period)
 
     def check(self, model: Model, rate: float) -> Steps:
         if not self.settings.orders:
@@ -254,7 +268,7 @@
         if model.tasks < 2:
             return False
         gap = (model.last - model.first) // (model.tasks - 1)
-        return self.now - model.last < max(PERIOD, GAPS * gap)
+        return self.now - model.last < max(self.period, GAPS * gap)
 
     def capacity(self, copy: Copy) -> float:
         own, all_copies = copy.latency, copy.model.latency
@@ -285,13 +299,15 @@
         return model.order
 
     def next_place(self, model: Model) -> Runner | None:
+        """The least loaded of the next few in the shared order: dispatchers that see alike choose alike."""
+        free = []
         for runner in self.shared_order(model):
             copy = model.copies.get(runner)
-            if not self.usable(runner) or self.cold(runner) or self.crowded(runner):
+            if not self.usable(runner) or self.cold(runner):
                 continue
             if copy is None or not (copy.held or self.now < copy.refused + self.settings.keep // 2):
-                return runner
-        return None
+                free.append(runner)
+        return min(free[:CHOICES], key=lambda r: r.load / r.facts.weight, default=None)
 
     def order(self, copy: Copy, copies: int = 1) -> Order:
         if copies:
@@ -387,7 +403,7 @@
         if holders:
             first = holders[int(self.pick() * len(holders))]
             second = holders[int(self.pick() * len(holders))]
-            return min(first, second, key=lambda c: (c.runner.out + 1) / c.runner.facts.weight).runner
+            return min(first, second, key=lambda c: self.busy(c.runner)).runner
         if known:  # a load where the holders are full would push out what others need
             return None
         for runner in self.shared_order(model):
@@ -395,11 +411,18 @@
                 return runner
         return None
 
+    def weigh(self, runner: Runner) -> None:
+        runner.area += runner.running * (self.now - runner.weighed)
+        runner.weighed = self.now
+
+    def busy(self, runner: Runner) -> float:
+        return (runner.running + runner.load) / runner.facts.weight
+
     def crowded(self, runner: Runner) -> bool:
-        """Lanes are often more than cores: a runner with twice its part of our tasks out is no home."""
+        """Lanes are often more than cores: a runner with more than its part of our tasks out is no home."""
         weight = sum(r.facts.weight for r in self.runners)
-        out = sum(r.running for r in self.runners)
-        return runner.running > 2 + CROWDED * out * runner.facts.weight / weight
+        load = sum(r.load for r in self.runners)
+        return runner.load > CROWDED * load * runner.facts.weight / weight
 
     def fit(self, task: Task, runner: Runner) -> bool:
         return self.usable(runner) and self.room(runner) and self.may_repeat(task, runner)
@@ -488,11 +511,14 @@
             model.home = next(standing, None)
         model.tasks += 1
         model.last = self.now
+        if self.now - model.second > SECOND:
+            model.counts[0], model.second = 0, self.now
         if not task.again:
             model.counts[0] += 1
             model.counts[1] += 1
         held = sum(self.capacity(c) for c in model.copies.values() if c.held)
-        if model.tasks > 1 and model.counts[0] * s.front_ends > held:
+        sure = model.counts[0] - 2 * math.sqrt(model.counts[0])  # above Rmax by more than chance
+        if model.tasks > 1 and (not held or sure * s.front_ends > held):
             yield from self.check(model, model.counts[0])
 
     def hand_off(self, task: Task, runner: Runner, last: int) -> HandOff:
@@ -506,6 +532,7 @@
         hand_off = HandOff(task, runner, last - self.now, self.now, int(self.warm(copy)))
         if not copy.stands and not copy.ordered:
             copy.ordered = self.now
+        self.weigh(runner)
         runner.running += hand_off.expected
         task.hand_offs.append(hand_off)
         return hand_off
@@ -529,6 +556,7 @@
         task, runner, lag = hand_off.task, hand_off.runner, answer.lag
         model, copy = task.model, self.copy(task.model, runner)
         hand_off.result = result
+        self.weigh(runner)
         runner.out -= 1
         runner.running -= hand_off.expected
         copy.out -= 1
