Hold what stands already, and only as long as its memory is worth a miss

Cause: two dispatchers held different copies of the same tail models, kept them for long, and a model slower than the soft limit counted nothing and gained copies without end. Holding time follows from the stated prices and the live rate.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -268,14 +268,21 @@
         if model.tasks < 2:
             return False
         gap = (model.last - model.first) // (model.tasks - 1)
-        return self.now - model.last < max(self.period, GAPS * gap)
+        return self.now - model.last < min(max(self.period, GAPS * gap), self.worth_holding(model))
+
+    def worth_holding(self, model: Model) -> float:
+        """How long a copy may stand idle for one task before its memory costs more than a late answer does."""
+        s = self.settings
+        memory = sum(r.facts.memory for r in self.runners) / max(model.facts.memory, 1.0)
+        tasks = max(self.rate, 1.0) * s.front_ends / SECOND
+        return s.miss_price * memory / (s.memory_price * tasks) if s.memory_price else math.inf
 
     def capacity(self, copy: Copy) -> float:
         own, all_copies = copy.latency, copy.model.latency
         lag = self.run_latency(own if own.total >= 3 else all_copies)
         if not lag:
             lag = self.run_latency(self.latency) or self.soft // 4
-        if lag > self.soft:
+        if lag > max(self.soft, 1.5 * self.run_latency(all_copies)):
             return 0.0
         return min(copy.model.facts.lanes * SECOND / lag, max(1.0, FAIR * self.fair(copy.runner)))
 
@@ -305,6 +312,8 @@
             copy = model.copies.get(runner)
             if not self.usable(runner) or self.cold(runner):
                 continue
+            if copy and self.warm(copy) and not copy.held and not self.crowded(runner):
+                return runner  # what stands already costs no load
             if copy is None or not (copy.held or self.now < copy.refused + self.settings.keep // 2):
                 free.append(runner)
         return min(free[:CHOICES], key=lambda r: r.load / r.facts.weight, default=None)
