Runners are compared by how much longer than usual they take; later second hand-offs

Cause: with few own tasks at each runner, own hand-offs out say nothing of a slow or shared one; the time over the usual does.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -49,6 +49,7 @@
 CHOICES = 3  # runners of the shared order that a new copy is chosen from
 CROWDED = 1.3  # own tasks at a runner, against its part of all that are out
 FAIR = 0.5  # of a runner's part of all tasks: what one copy counts for at most
+PAR = SECOND // 10
 BIN = math.log(1.5)
 
 
@@ -66,8 +67,11 @@
         self.bins[min(at, 23)] += 1
         self.total += 1
         if self.total > 60:
-            self.bins = [n / 2 for n in self.bins]
-            self.total /= 2
+            self.halve()
+
+    def halve(self) -> None:
+        self.bins = [n / 2 for n in self.bins]
+        self.total /= 2
 
     def quantile(self, share: float) -> int:
         left = share * self.total
@@ -100,7 +104,7 @@
 
 class Runner:
     __slots__ = (
-        "area", "cold_next", "credit", "facts", "heard", "latency", "load", "out", "running",
+        "area", "cold_next", "credit", "facts", "heard", "load", "out", "ratio", "running",
         "silent", "told", "waiting", "weighed", "widened", "width",
     )  # fmt: skip
 
@@ -117,12 +121,12 @@
         self.silent = 0  # hand-offs unanswered in a row
         self.waiting = 0  # since when an answer is overdue
         self.cold_next = 0
-        self.latency = Histogram()
+        self.ratio = Histogram()  # of PAR, an answer that took as long as usual
 
 
 class Model:
     __slots__ = (
-        "added", "asks", "copies", "counts", "facts", "first", "home", "last", "latency", "order",
+        "added", "asks", "copies", "cost", "counts", "facts", "first", "home", "last", "latency", "order",
         "order_made", "second", "tasks",
     )  # fmt: skip
 
@@ -139,6 +143,7 @@
         self.last = 0
         self.tasks = 0
         self.asks = 0
+        self.cost = 0.0  # mean of the hints
         self.added = 0
 
 
@@ -220,6 +225,7 @@
             self.rate = (self.rate + rate) / 2 if self.rate else rate
             self.satisfied = 0
             for runner in self.runners:
+                runner.ratio.halve()
                 self.weigh(runner)
                 runner.load, runner.area = (runner.load + runner.area / self.period) / 2, 0
             models = sorted(self.models, key=lambda m: (-m.counts[1], m.facts.mark))
@@ -316,7 +322,7 @@
                 return runner  # what stands already costs no load
             if copy is None or not (copy.held or self.now < copy.refused + self.settings.keep // 2):
                 free.append(runner)
-        return min(free[:CHOICES], key=lambda r: r.load / r.facts.weight, default=None)
+        return min(free[:CHOICES], key=lambda r: self.pace(r) * (1 + r.load), default=None)
 
     def order(self, copy: Copy, copies: int = 1) -> Order:
         if copies:
@@ -424,14 +430,17 @@
         runner.area += runner.running * (self.now - runner.weighed)
         runner.weighed = self.now
 
+    def pace(self, runner: Runner) -> float:
+        """How many times longer than usual its tasks take: slow cores and other dispatchers' tasks both show."""
+        ratio = runner.ratio
+        return (2 + ratio.mean() * ratio.total / PAR) / (2 + ratio.total)
+
     def busy(self, runner: Runner) -> float:
-        return (runner.running + runner.load) / runner.facts.weight
+        return self.pace(runner) * (1 + runner.running)
 
     def crowded(self, runner: Runner) -> bool:
-        """Lanes are often more than cores: a runner with more than its part of our tasks out is no home."""
-        weight = sum(r.facts.weight for r in self.runners)
-        load = sum(r.load for r in self.runners)
-        return runner.load > CROWDED * load * runner.facts.weight / weight
+        """Lanes are often more than cores: a runner that takes much longer than usual is no home."""
+        return self.pace(runner) > CROWDED
 
     def fit(self, task: Task, runner: Runner) -> bool:
         return self.usable(runner) and self.room(runner) and self.may_repeat(task, runner)
@@ -478,7 +487,8 @@
             hand_off = self.hand_off(task, runner, last)
             yield hand_off
             while hand_off.result is None:
-                answer = yield Wait(min(last + s.tick, self.now + self.soft // 2))
+                slow = max(task.offering.soft_limit // 2, 2 * model.latency.quantile(0.95))
+                answer = yield Wait(min(last + s.tick, self.now + slow))
                 if answer is not None and answer.final:
                     return
                 if answer is None and self.gone_quiet(hand_off) and len(task.hand_offs) < s.hand_offs:
@@ -519,6 +529,7 @@
             standing = (r for r in self.shared_order(model) if r in model.copies and self.warm(model.copies[r]))
             model.home = next(standing, None)
         model.tasks += 1
+        model.cost += (task.cost - model.cost) / min(model.tasks, 60)
         model.last = self.now
         if self.now - model.second > SECOND:
             model.counts[0], model.second = 0, self.now
@@ -581,7 +592,12 @@
             copy.ordered = 0
             copy.stands = True
             if warm:
-                for latency in (copy.latency, model.latency, runner.latency, self.latency):
+                usual = model.latency.mean()
+                if task.cost and model.cost:
+                    usual = int(usual * task.cost / model.cost)
+                if usual:
+                    runner.ratio.add(PAR * lag // usual)
+                for latency in (copy.latency, model.latency, self.latency):
                     latency.add(lag)
                 self.widen(runner, lag, task.offering.soft_limit)
             elif not self.settings.tells_warm:
