--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -433,7 +433,7 @@
     def pace(self, runner: Runner) -> float:
         """How many times longer than usual its tasks take: slow cores and other dispatchers' tasks both show."""
         ratio = runner.ratio
-        return (2 + ratio.mean() * ratio.total / PAR) / (2 + ratio.total)
+        return (2 + self.run_latency(ratio) * ratio.total / PAR) / (2 + ratio.total)
 
     def busy(self, runner: Runner) -> float:
         return self.pace(runner) * (1 + runner.running)
@@ -592,7 +592,7 @@
             copy.ordered = 0
             copy.stands = True
             if warm:
-                usual = model.latency.mean()
+                usual = self.run_latency(model.latency)
                 if task.cost and model.cost:
                     usual = int(usual * task.cost / model.cost)
                 if usual:
@@ -620,6 +620,6 @@
         if lag <= soft // 2:
             if runner.running + 1 > runner.width / 2:
                 runner.width += 1 / runner.width
-        elif lag > soft and self.now - runner.widened > soft:
+        elif lag > soft and self.crowded(runner) and self.now - runner.widened > soft:
             runner.widened = self.now
-            runner.width = max(2.0, runner.width * 0.9)
+            runner.width = max(2.0, FIRST_WIDTH / self.settings.front_ends, runner.width * 0.9)
