--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -295,7 +295,8 @@
     def fair(self, runner: Runner) -> float:
         """A runner's part of all tasks: no copy counts for more, since lanes are often more than cores."""
         weight = sum(r.facts.weight for r in self.runners)
-        return self.rate * self.settings.front_ends * runner.facts.weight / weight if weight else 0.0
+        rate = self.rate or math.inf  # a dispatcher just born must not take all copies for weak and load more
+        return rate * self.settings.front_ends * runner.facts.weight / weight if weight else 0.0
 
     def run_latency(self, latency: Histogram) -> int:
         return latency.mean() if self.settings.tells_warm else latency.quantile(0.25)
