--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -161,6 +161,7 @@
         self.orders: deque[int] = deque()
         self.rate = 0.0  # satisfied tasks a second, slowly
         self.satisfied = 0
+        self.running = 0
         self.period = max(SECOND, settings.keep // 4)  # renewals need a few periods within the keep-alive
         self.soft = min((o.soft_limit for o in settings.offerings), default=SECOND)
 
@@ -440,8 +441,9 @@
         return self.pace(runner) * (1 + runner.running)
 
     def crowded(self, runner: Runner) -> bool:
-        """Lanes are often more than cores: a runner that takes much longer than usual is no home."""
-        return self.pace(runner) > CROWDED
+        """Lanes are often more than cores: a runner that takes much longer than usual, or has far more than
+        its part of our tasks out, is no home. The latter tells before any answer has."""
+        return self.pace(runner) > CROWDED or runner.running > 2 + 2 * self.running / len(self.runners)
 
     def fit(self, task: Task, runner: Runner) -> bool:
         return self.usable(runner) and self.room(runner) and self.may_repeat(task, runner)
@@ -555,6 +557,7 @@
             copy.ordered = self.now
         self.weigh(runner)
         runner.running += hand_off.expected
+        self.running += hand_off.expected
         task.hand_offs.append(hand_off)
         return hand_off
 
@@ -580,6 +583,7 @@
         self.weigh(runner)
         runner.out -= 1
         runner.running -= hand_off.expected
+        self.running -= hand_off.expected
         copy.out -= 1
         if result in (Result.SATISFIED, Result.ERROR, Result.FULL, Result.MISSING):
             self.alive(runner)
