R is smoothed over two periods; ties release the copy last in the shared order

Cause: five dispatchers multiply what chance does to a few tasks each, and each held different spare copies; runners pushed out copies that others used.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -127,7 +127,7 @@
 class Model:
     __slots__ = (
         "added", "asks", "copies", "cost", "counts", "facts", "first", "home", "last", "latency", "order",
-        "order_made", "second", "tasks",
+        "order_made", "rate", "second", "tasks",
     )  # fmt: skip
 
     def __init__(self, facts: ModelFacts, now: int) -> None:
@@ -138,7 +138,8 @@
         self.order: list[Runner] = []
         self.order_made = -1
         self.second = now
-        self.counts = [0, 0, 0]  # tasks of this second, this period, the last period
+        self.counts = [0, 0]  # tasks of this second, this period
+        self.rate = 0.0
         self.first = now
         self.last = 0
         self.tasks = 0
@@ -231,11 +232,12 @@
                 runner.load, runner.area = (runner.load + runner.area / self.period) / 2, 0
             models = sorted(self.models, key=lambda m: (-m.counts[1], m.facts.mark))
             for model in models:
-                model.counts = [0, 0, model.counts[1]]
+                model.rate = (model.rate + model.counts[1] * SECOND / self.period) / 2  # few tasks, much chance
+                model.counts = [0, 0]
                 model.second = self.now
                 model.added = 0
                 if model.copies:
-                    yield from self.check(model, model.counts[2] * SECOND / self.period)
+                    yield from self.check(model, model.rate)
 
     def check(self, model: Model, rate: float) -> Steps:
         if not self.settings.orders:
@@ -257,7 +259,8 @@
             held.append(copy)
             model.added += 1
         if not model.added and need < LOW * most and len(held) > 1:
-            weakest = min(held, key=lambda c: (self.capacity(c), c.runner.facts.mark))
+            order = self.shared_order(model)
+            weakest = min(held, key=lambda c: (self.capacity(c), -order.index(c.runner)))
             if need <= HIGH * (most - self.capacity(weakest)):
                 weakest.held = False
                 held.remove(weakest)
