Runners narrow by their part of late answers; over-share tasks get half the width

Cause: in an overload every runner takes longer than usual, so comparing them narrowed none, and a customer's tasks beyond its share pushed out others'.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -21,6 +21,7 @@
     Answer,
     AskRoster,
     CallOff,
+    Customer,
     Effect,
     Group,
     HandOff,
@@ -49,6 +50,8 @@
 CHOICES = 3  # runners of the shared order that a new copy is chosen from
 CROWDED = 1.3  # own tasks at a runner, against its part of all that are out
 FAIR = 0.5  # of a runner's part of all tasks: what one copy counts for at most
+LATE = 0.2  # a part of answers that long tasks alone do not make late
+SPARE = 0.5  # of a runner's width is kept from tasks over their customer's share
 PAR = SECOND // 10
 BIN = math.log(1.5)
 
@@ -104,7 +107,7 @@
 
 class Runner:
     __slots__ = (
-        "area", "cold_next", "credit", "facts", "heard", "load", "out", "ratio", "running",
+        "area", "cold_next", "credit", "facts", "heard", "late", "load", "out", "ratio", "running",
         "silent", "told", "waiting", "weighed", "widened", "width",
     )  # fmt: skip
 
@@ -117,6 +120,7 @@
         self.credit = 1.0
         self.width = FIRST_WIDTH
         self.widened = 0
+        self.late = 0.0  # part of the last answers that came late
         self.heard = now
         self.silent = 0  # hand-offs unanswered in a row
         self.waiting = 0  # since when an answer is overdue
@@ -163,6 +167,8 @@
         self.rate = 0.0  # satisfied tasks a second, slowly
         self.satisfied = 0
         self.running = 0
+        self.served: dict[Customer, int] = {}
+        self.rates: dict[Customer, float] = {}
         self.period = max(SECOND, settings.keep // 4)  # renewals need a few periods within the keep-alive
         self.soft = min((o.soft_limit for o in settings.offerings), default=SECOND)
 
@@ -226,6 +232,9 @@
             rate = self.satisfied * SECOND / self.period
             self.rate = (self.rate + rate) / 2 if self.rate else rate
             self.satisfied = 0
+            for customer, tasks in self.served.items():
+                self.rates[customer] = (self.rates.get(customer, 0.0) + tasks * SECOND / self.period) / 2
+                self.served[customer] = 0
             for runner in self.runners:
                 runner.ratio.halve()
                 self.weigh(runner)
@@ -404,10 +413,10 @@
         rate = 0.5 * s.fall_multiple * share * self.rate / max(1, len(self.runners))
         return int(SECOND / max(rate, 0.05))
 
-    def room(self, runner: Runner) -> bool:
+    def room(self, runner: Runner, part: float) -> bool:
         if self.cold(runner) and self.now < runner.cold_next:
             return False
-        return runner.running < runner.width
+        return runner.running < runner.width * part
 
     def place(self, task: Task, but: set[Runner]) -> Runner | None:
         """Where last seen warm; else the less busy of two random holders; else next in the shared order."""
@@ -448,8 +457,15 @@
         its part of our tasks out, is no home. The latter tells before any answer has."""
         return self.pace(runner) > CROWDED or runner.running > 2 + 2 * self.running / len(self.runners)
 
+    def over_share(self, customer: Customer | None) -> bool:
+        """Counts as over its share as large a part of a customer's tasks as is beyond its quota."""
+        if customer is None or self.settings.over_share >= 1:
+            return False
+        rate = self.rates.get(customer, 0.0) * self.settings.front_ends
+        return rate > 0 and self.pick() > customer.quota / rate
+
     def fit(self, task: Task, runner: Runner) -> bool:
-        return self.usable(runner) and self.room(runner) and self.may_repeat(task, runner)
+        return self.usable(runner) and self.room(runner, SPARE if task.spare else 1.0) and self.may_repeat(task, runner)
 
     def may_repeat(self, task: Task, runner: Runner) -> bool:
         """No effect twice: the rule's guard, asked before each hand-off."""
@@ -537,6 +553,9 @@
         model.tasks += 1
         model.cost += (task.cost - model.cost) / min(model.tasks, 60)
         model.last = self.now
+        task.spare = self.over_share(task.customer)
+        if task.customer:
+            self.served[task.customer] = self.served.get(task.customer, 0) + 1
         if self.now - model.second > SECOND:
             model.counts[0], model.second = 0, self.now
         if not task.again:
@@ -625,9 +644,10 @@
 
     def widen(self, runner: Runner, lag: int, soft: int) -> None:
         """Own tasks at a runner: one more a full round in time, a tenth fewer when late, once a soft limit."""
+        runner.late += ((lag > soft) - runner.late) / 8
         if lag <= soft // 2:
             if runner.running + 1 > runner.width / 2:
                 runner.width += 1 / runner.width
-        elif lag > soft and self.crowded(runner) and self.now - runner.widened > soft:
+        elif runner.late > LATE and lag > soft and self.now - runner.widened > soft:
             runner.widened = self.now
             runner.width = max(2.0, FIRST_WIDTH / self.settings.front_ends, runner.width * 0.9)
--- a/martenlead/interface.py
+++ b/martenlead/interface.py
@@ -144,6 +144,7 @@
     again: bool
     cost: float
     hand_offs: list[HandOff] = field(default_factory=list)
+    spare: bool = False  # the module's: over its customer's share
     process: Any = None  # the engine's
 
 
