--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -367,7 +367,8 @@
             self.alive(order.runner)
             copy.stands = copies > 0
             if copy.stands and not order.copies:
-                copy.touched = max(copy.touched, self.now - self.settings.keep // 2)
+                # what stood unused when asked is the first to be pushed out by the next load
+                copy.touched = max(copy.touched, self.now - self.settings.keep + SECOND)
         elif result is not Result.SATISFIED:
             copy.stands = copy.held = False
         if order.copies and not copy.stands:
