--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -107,8 +107,8 @@
 
 class Runner:
     __slots__ = (
-        "area", "cold_next", "credit", "facts", "heard", "late", "load", "out", "ratio", "running",
-        "silent", "told", "waiting", "weighed", "widened", "width",
+        "area", "cold_next", "credit", "facts", "fulls", "heard", "late", "load", "out", "ratio", "running",
+        "shut", "silent", "told", "waiting", "weighed", "widened", "width",
     )  # fmt: skip
 
     def __init__(self, facts: RunnerFacts, now: int) -> None:
@@ -120,6 +120,7 @@
         self.credit = 1.0
         self.width = FIRST_WIDTH
         self.widened = 0
+        self.fulls = self.shut = 0  # turned away in a row; until when it is let alone
         self.late = 0.0  # part of the last answers that came late
         self.heard = now
         self.silent = 0  # hand-offs unanswered in a row
@@ -417,7 +418,7 @@
     def room(self, runner: Runner, part: float) -> bool:
         if self.cold(runner) and self.now < runner.cold_next:
             return False
-        return runner.running < runner.width * part
+        return self.now >= runner.shut and runner.running < runner.width * part
 
     def place(self, task: Task, but: set[Runner]) -> Runner | None:
         """Where last seen warm; else the less busy of two random holders; else next in the shared order."""
@@ -612,6 +613,7 @@
             self.alive(runner)
         if result is Result.SATISFIED:
             self.satisfied += 1
+            runner.fulls = 0
             runner.credit = min(CREDIT_MOST, runner.credit + CREDIT_EARNED)
             warm = answer.warmth is Warmth.WARM if self.settings.tells_warm else bool(hand_off.expected)
             if model.home is None or not self.warm(model.copies[model.home]):
@@ -634,6 +636,8 @@
             copy.stands, copy.ordered = False, 0
         elif result is Result.FULL:
             self.widen(runner, 2 * task.offering.soft_limit, task.offering.soft_limit)
+            runner.fulls = min(8, runner.fulls + 1)
+            runner.shut = self.now + runner.fulls * (self.run_latency(self.latency) or self.soft // 4)
         elif result in (Result.UNREACHED, Result.BROKEN):
             runner.silent += 1
             runner.waiting = self.now
