Copies on a runner that turns tasks away count nothing, so that copies grow elsewhere

Symptom: a third of hand-offs turned away as full by few runners while others have room. It guards against full queues and against memory that cannot be had; it may add copies needlessly where all runners are full.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -108,7 +108,7 @@
 class Runner:
     __slots__ = (
         "area", "cold_next", "credit", "facts", "fulls", "heard", "late", "load", "out", "ratio", "running",
-        "shut", "silent", "told", "waiting", "weighed", "widened", "width",
+        "silent", "told", "waiting", "weighed", "widened", "width",
     )  # fmt: skip
 
     def __init__(self, facts: RunnerFacts, now: int) -> None:
@@ -120,7 +120,7 @@
         self.credit = 1.0
         self.width = FIRST_WIDTH
         self.widened = 0
-        self.fulls = self.shut = 0  # turned away in a row; until when it is let alone
+        self.fulls = 0  # turned away in a row
         self.late = 0.0  # part of the last answers that came late
         self.heard = now
         self.silent = 0  # hand-offs unanswered in a row
@@ -298,6 +298,8 @@
         return s.miss_price * memory / (s.memory_price * tasks) if s.memory_price else math.inf
 
     def capacity(self, copy: Copy) -> float:
+        if copy.runner.fulls > 1:
+            return 0.0  # a runner that turns tasks away meets no soft limit: copies grow elsewhere
         own, all_copies = copy.latency, copy.model.latency
         lag = self.run_latency(own if own.total >= 3 else all_copies)
         if not lag:
@@ -418,7 +420,7 @@
     def room(self, runner: Runner, part: float) -> bool:
         if self.cold(runner) and self.now < runner.cold_next:
             return False
-        return self.now >= runner.shut and runner.running < runner.width * part
+        return runner.running < runner.width * part
 
     def place(self, task: Task, but: set[Runner]) -> Runner | None:
         """Where last seen warm; else the less busy of two random holders; else next in the shared order."""
@@ -636,8 +638,7 @@
             copy.stands, copy.ordered = False, 0
         elif result is Result.FULL:
             self.widen(runner, 2 * task.offering.soft_limit, task.offering.soft_limit)
-            runner.fulls = min(8, runner.fulls + 1)
-            runner.shut = self.now + runner.fulls * (self.run_latency(self.latency) or self.soft // 4)
+            runner.fulls += 1
         elif result in (Result.UNREACHED, Result.BROKEN):
             runner.silent += 1
             runner.waiting = self.now
