Widths at a runner are shared between the front ends

Cause: nine dispatchers may each keep eight tasks at a runner of three cores. Kept: the value follows from the number of front ends.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -46,7 +46,7 @@
 NEW_COPIES = 2  # a model and period, as the design starts
 GAPS = 6  # a last copy is kept for so many of the model's mean gaps
 CREDIT_EARNED, CREDIT_MOST = 0.2, 10.0  # an answer earns, a further hand-off costs 1
-FIRST_WIDTH = 8.0
+FIRST_WIDTH, LEAST_WIDTH = 16.0, 8.0  # of all dispatchers together, at one runner
 CHOICES = 3  # runners of the shared order that a new copy is chosen from
 CROWDED = 1.3  # own tasks at a runner, against its part of all that are out
 FAIR = 0.5  # of a runner's part of all tasks: what one copy counts for at most
@@ -111,14 +111,14 @@
         "silent", "told", "waiting", "weighed", "widened", "width",
     )  # fmt: skip
 
-    def __init__(self, facts: RunnerFacts, now: int) -> None:
+    def __init__(self, facts: RunnerFacts, now: int, width: float) -> None:
         self.facts = facts
         self.told = now
         self.out = 0  # all hand-offs
         self.running = 0  # those that should have met a copy
         self.weighed, self.area, self.load = now, 0, 0.0  # their mean over the last periods
         self.credit = 1.0
-        self.width = FIRST_WIDTH
+        self.width = width
         self.widened = 0
         self.fulls = 0  # turned away in a row
         self.late = 0.0  # part of the last answers that came late
@@ -176,7 +176,7 @@
     # -- objects for the door, and news of the roster
 
     def runner(self, facts: RunnerFacts) -> Runner:
-        return Runner(facts, self.now)
+        return Runner(facts, self.now, max(2.0, FIRST_WIDTH / self.settings.front_ends))
 
     def model(self, facts: ModelFacts) -> Model:
         model = Model(facts, self.now)
@@ -656,4 +656,4 @@
                 runner.width += 1 / runner.width
         elif runner.late > LATE and lag > soft and self.now - runner.widened > soft:
             runner.widened = self.now
-            runner.width = max(2.0, FIRST_WIDTH / self.settings.front_ends, runner.width * 0.9)
+            runner.width = max(1.0, LEAST_WIDTH / self.settings.front_ends, runner.width * 0.9)
