Own load orders out are halved when loads are turned away

It guards against a crowded store, runners with no room and failing loads alike; it may slow a healthy rise after one failed load.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -168,6 +168,7 @@
         self.rate = 0.0  # satisfied tasks a second, slowly
         self.satisfied = 0
         self.running = 0
+        self.loading, self.load_room, self.load_cut = 0, 16.0 / settings.front_ends + 1, 0
         self.served: dict[Customer, int] = {}
         self.rates: dict[Customer, float] = {}
         self.period = max(SECOND, settings.keep // 4)  # renewals need a few periods within the keep-alive
@@ -260,7 +261,7 @@
             if runner is None:
                 break
             copy = self.copy(model, runner)
-            if not self.may_order(runner):
+            if not self.may_order(runner) or not (self.warm(copy) or self.loading < self.load_room):
                 break
             copy.held = True
             if not (copy.stands and copy.touched + self.settings.keep // 2 > self.now):
@@ -343,6 +344,7 @@
 
     def order(self, copy: Copy, copies: int = 1) -> Order:
         if copies:
+            self.loading += not copy.stands
             copy.ordered = copy.touched = self.now
             self.orders.append(self.now)
         return Order(copy.runner, copy.model, copies)
@@ -364,6 +366,12 @@
         copy = self.copy(order.model, order.runner)
         if order.copies:
             copy.ordered = 0
+            self.loading = max(0, self.loading - (not copy.stands))
+            if result is Result.SATISFIED:
+                self.load_room += 1 / self.load_room
+            elif self.now - self.load_cut > SECOND:
+                # a store or runners that turn loads away get worse when pushed: own loads out are halved
+                self.load_cut, self.load_room = self.now, max(1.0, self.load_room / 2)
         else:
             order.model.asks -= 1
         if result in (Result.SATISFIED, Result.FULL, Result.ERROR):
