Hand-offs still out are called off once their task is over

Cause told apart from slow runners by 'given up by clients' with a median answer of 83 ms. The task's other hand-offs and those of clients that left are now called off, which drops waiting work where the site does so. It also holds against doubled hand-offs; it does harm where calling off costs more than the work.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -546,6 +546,10 @@
             return TurnBack(task, self.settings.turn_back_wait)
         return Scrap(task)
 
+    def closed(self, task: Task) -> list[Action]:
+        """A task that is over leaves nothing waiting: work for clients that left or were answered is waste."""
+        return [CallOff(h) for h in task.hand_offs if h.result is None and self.settings.call_off]
+
     def count(self, task: Task) -> Steps:
         """Notes a task; a first sight asks where the model stands, a rate above Rmax runs the check at once."""
         model, s = task.model, self.settings
--- a/martenlead/engine.py
+++ b/martenlead/engine.py
@@ -53,6 +53,8 @@
         if task.process.alive:
             task.process.alive = False
             task.process.steps.close()
+        for action in self.brain.closed(task):
+            self.outlet(action)
 
     def due(self) -> int | None:
         while self._due and not self._waiting(self._due[0]):
