--- a/martenlead/benchlink/settings.py
+++ b/martenlead/benchlink/settings.py
@@ -35,7 +35,6 @@
         self.customers = {o["name"]: Customer(o["quota-per-s"]) for o in told.get("orgs", [])}
         memory = family.get("kind-memory-mb") or []
         self.memory = dict(zip(told.get("skus", []), memory, strict=False))
-        self.report_fields: list[str] = told.get("report", {}).get("fields", [])
         self.silent_weights = told.get("weights", "silent") == "silent"
         late = min((c.get("late-value", 0.0) for c in told["classes"]), default=0.0)
         self.settings = Settings(
@@ -44,22 +43,17 @@
             hand_offs=allowed["attempts-cap"],
             twice_out=allowed.get("may-duplicate", False),
             call_off=allowed.get("cancel", False),
-            probes=allowed.get("probes", False),
             orders=family.get("placement-calls", False),
             tells_warm=family.get("tells-warm", False),
             loads_on_miss=family.get("if-cold", "load") == "load",
             turn_back_wait=ns(allowed.get("max-retry-after", 0)) if allowed.get("retry-after") else 0,
             keep=ns(family.get("linger-idle", 0)),
-            order_limit=ns(family.get("order-limit", 0)),
             ration_window=ns(family.get("load-period", 0)),
             ration_free=family.get("loads-anyway", 0),
             ration_share=family.get("loads-per-request", 0),
-            drain_grace=ns(rules["drain-grace"]),
             cold_from=rules["cold-from"],
             cold=ns(rules["cold"]),
             fall_multiple=rules["fall-multiple"],
-            fall=ns(rules["fall"]),
-            zone=told.get("locality", ""),
             over_share=told.get("over-share-worth", 1.0),
             memory_price=family.get("memory-price", 0.0),
             miss_price=1 - late + told.get("prices", {}).get("origin", 0.0),
--- a/martenlead/benchlink/wire.py
+++ b/martenlead/benchlink/wire.py
@@ -18,8 +18,6 @@
     HandOff,
     ModelFacts,
     Order,
-    Probe,
-    Report,
     Result,
     RunnerFacts,
     Scrap,
@@ -109,7 +107,9 @@
     def request(self, event: dict[str, Any], now: int) -> None:
         name = event["fn"]
         if name not in self.models:
-            facts = ModelFacts(int(name, 16), max(1, int(event.get("per-copy") or 1)), event.get("ram-mb") or 0.0)
+            facts = ModelFacts(
+                int(name, 16), max(1, int(event.get("per-copy") or 1)), event.get("ram-mb") or 0.0
+            )
             model = self.brain.model(facts)
             self.models[name], self.model_ids[model] = model, name
         task = Task(
@@ -132,8 +132,6 @@
         warmth = WARMTH.get((event.get("note") or 0) % 8, Warmth.UNTOLD)
         result = RESULTS.get(event["reason"], Result.ERROR)
         self.engine.answered(Answer(hand_off, result, final, warmth, ns(event.get("lag") or 0)))
-        if event.get("feedback"):
-            self.brain.reported(hand_off.runner, self.report(event["feedback"]))
         if final:
             self.drop(ref)
 
@@ -156,17 +154,6 @@
             result = RESULTS.get(event["reason"], Result.ERROR)
             self.engine.ordered(waiting.pop(0), result, event.get("number") or 0)
 
-    def probed(self, event: dict[str, Any], now: int) -> None:
-        runner = self.runners.get(event["runner"])
-        if runner is not None:
-            told = event.get("feedback")
-            result = RESULTS.get(event["reason"], Result.ERROR)
-            self.engine.probed(runner, result, self.report(told) if told else None)
-
-    def report(self, told: list[float]) -> Report:
-        named = dict(zip(self.profile.report_fields, told, strict=False))
-        return Report(busy=named.get("busy"), loads=named.get("x1"))
-
     HANDLERS = {  # noqa: RUF012
         "update": update,
         "request": request,
@@ -174,7 +161,6 @@
         "expired": expired,
         "deadline-hit": timer,
         "in-place": in_place,
-        "health-result": probed,
     }
 
     # -- actions
@@ -199,8 +185,6 @@
                 names = self.runner_ids[runner], self.model_ids[model]
                 self.orders.setdefault(names, []).append(action)
                 self.say("load", runner=names[0], fn=names[1], number=copies)
-            case Probe(runner=runner):
-                self.say("sound-out", runner=self.runner_ids[runner])
             case AskRoster():
                 self.say("stream-changes", want=True)
 
@@ -242,12 +226,16 @@
                     instances[number].out = out
                     instances[number].hear(event, now)
             except Exception as error:
-                out.append({"msg": "panic", "dispatcher": number, "reason-text": f"{type(error).__name__}: {error}"})
+                out.append(
+                    {"msg": "panic", "dispatcher": number, "reason-text": f"{type(error).__name__}: {error}"}
+                )
         for number in touched:
             try:
                 instances[number].settle(now)
             except Exception as error:
-                out.append({"msg": "panic", "dispatcher": number, "reason-text": f"{type(error).__name__}: {error}"})
+                out.append(
+                    {"msg": "panic", "dispatcher": number, "reason-text": f"{type(error).__name__}: {error}"}
+                )
         write.write(encode({"out": out}))
         write.write(b"\n")
         write.flush()
--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -1,9 +1,9 @@
 """Every decision of a dispatcher: where a task goes, which copies are held, what is given up.
 
 Called by engine.py: `background` and `task` give generators that yield what they want done and are resumed
-with what came of it; `heard`, `ordered`, `probed` and `roster` tell what was observed. `runner` and `model`
-make the objects that stand for ids at the door. The types of both directions stand in interface.py; docs/design.md
-tells what is kept of the design and what departs from it.
+with what came of it; `heard`, `ordered`, `closed` and `roster` tell what was observed. `runner` and `model`
+make the objects that stand for ids at the door. The types of both directions stand in interface.py.
+docs/design.md tells what is kept of the design and what departs from it.
 """
 
 from __future__ import annotations
@@ -27,7 +27,6 @@
     HandOff,
     ModelFacts,
     Order,
-    Report,
     Result,
     RunnerFacts,
     Scrap,
@@ -53,14 +52,13 @@
 LATE = 0.2  # a part of answers that long tasks alone do not make late
 SPARE = 0.5  # of a runner's width is kept from tasks over their customer's share
 PAR = SECOND // 10
+LOADS = 16.0  # orders out that load, of all dispatchers together, to begin with
 BIN = math.log(1.5)
 
 
 class Histogram:
     """Latencies in bins half as wide again as the last, halved once they hold much: old news fades."""
 
-    __slots__ = ("bins", "total")
-
     def __init__(self) -> None:
         self.bins = [0.0] * 24
         self.total = 0.0
@@ -92,8 +90,6 @@
 class Copy:
     """One runner's copies of one model, as this dispatcher believes in them."""
 
-    __slots__ = ("held", "latency", "model", "ordered", "out", "refused", "runner", "stands", "touched")
-
     def __init__(self, runner: Runner, model: Model) -> None:
         self.runner, self.model = runner, model
         self.latency = Histogram()
@@ -106,35 +102,19 @@
 
 
 class Runner:
-    __slots__ = (
-        "area", "cold_next", "credit", "facts", "fulls", "heard", "late", "load", "out", "ratio", "running",
-        "silent", "told", "waiting", "weighed", "widened", "width",
-    )  # fmt: skip
-
     def __init__(self, facts: RunnerFacts, now: int, width: float) -> None:
         self.facts = facts
-        self.told = now
-        self.out = 0  # all hand-offs
-        self.running = 0  # those that should have met a copy
-        self.weighed, self.area, self.load = now, 0, 0.0  # their mean over the last periods
+        self.out = self.running = 0  # hand-offs, and those of them that should have met a copy
         self.credit = 1.0
         self.width = width
-        self.widened = 0
-        self.fulls = 0  # turned away in a row
+        self.fulls = self.silent = 0  # turned away, or unanswered, in a row
         self.late = 0.0  # part of the last answers that came late
         self.heard = now
-        self.silent = 0  # hand-offs unanswered in a row
-        self.waiting = 0  # since when an answer is overdue
-        self.cold_next = 0
+        self.widened = self.waiting = self.cold_next = 0  # waiting: since when an answer is overdue
         self.ratio = Histogram()  # of PAR, an answer that took as long as usual
 
 
 class Model:
-    __slots__ = (
-        "added", "asks", "copies", "cost", "counts", "facts", "first", "home", "last", "latency", "order",
-        "order_made", "rate", "second", "tasks",
-    )  # fmt: skip
-
     def __init__(self, facts: ModelFacts, now: int) -> None:
         self.facts = facts
         self.copies: dict[Runner, Copy] = {}
@@ -144,13 +124,9 @@
         self.order_made = -1
         self.second = now
         self.counts = [0, 0]  # tasks of this second, this period
-        self.rate = 0.0
+        self.rate = self.cost = 0.0  # cost: mean of the hints
         self.first = now
-        self.last = 0
-        self.tasks = 0
-        self.asks = 0
-        self.cost = 0.0  # mean of the hints
-        self.added = 0
+        self.last = self.tasks = self.asks = self.added = 0
 
 
 class Brain:
@@ -166,9 +142,9 @@
         self.taken: deque[int] = deque()
         self.orders: deque[int] = deque()
         self.rate = 0.0  # satisfied tasks a second, slowly
-        self.satisfied = 0
-        self.running = 0
-        self.loading, self.load_room, self.load_cut = 0, 16.0 / settings.front_ends + 1, 0
+        self.satisfied = self.running = 0
+        self.loads: set[Order] = set()  # own orders out that load
+        self.load_room, self.load_cut = LOADS / settings.front_ends + 1, 0
         self.served: dict[Customer, int] = {}
         self.rates: dict[Customer, float] = {}
         self.period = max(SECOND, settings.keep // 4)  # renewals need a few periods within the keep-alive
@@ -185,11 +161,9 @@
         return model
 
     def roster(self, news: Iterable[tuple[Any, RunnerFacts]], whole: bool) -> None:
-        listed = {}
+        listed: dict[Runner, None] = {}
         for runner, facts in news:
             listed[runner] = None
-            if facts.state is not State.UP and runner.facts.state is State.UP:
-                runner.told = self.now
             if facts.since != runner.facts.since and runner in self.runners:
                 self.forget(runner)
             runner.facts = facts
@@ -197,9 +171,8 @@
         for runner in self.runners:
             if whole and runner not in listed:
                 runner.facts.state = State.GONE
-                runner.told = self.now
-        self.runners = kept + [r for r in listed if r.facts.state is not State.GONE]
-        self.runners.sort(key=lambda r: r.facts.mark)
+        up = [r for r in listed if r.facts.state is not State.GONE]
+        self.runners = sorted(kept + up, key=lambda r: r.facts.mark)
         for runner in listed:
             if runner.facts.state is not State.UP:
                 self.forget(runner)
@@ -239,14 +212,11 @@
                 self.served[customer] = 0
             for runner in self.runners:
                 runner.ratio.halve()
-                self.weigh(runner)
-                runner.load, runner.area = (runner.load + runner.area / self.period) / 2, 0
             models = sorted(self.models, key=lambda m: (-m.counts[1], m.facts.mark))
             for model in models:
-                model.rate = (model.rate + model.counts[1] * SECOND / self.period) / 2  # few tasks, much chance
-                model.counts = [0, 0]
-                model.second = self.now
-                model.added = 0
+                # two periods, as what chance does to a few tasks is multiplied by the front ends
+                model.rate = (model.rate + model.counts[1] * SECOND / self.period) / 2
+                model.counts, model.added, model.second = [0, 0], 0, self.now
                 if model.copies:
                     yield from self.check(model, model.rate)
 
@@ -261,7 +231,7 @@
             if runner is None:
                 break
             copy = self.copy(model, runner)
-            if not self.may_order(runner) or not (self.warm(copy) or self.loading < self.load_room):
+            if not self.may_order(runner) or not (self.warm(copy) or len(self.loads) < self.load_room):
                 break
             copy.held = True
             if not (copy.stands and copy.touched + self.settings.keep // 2 > self.now):
@@ -292,7 +262,7 @@
         return self.now - model.last < min(max(self.period, GAPS * gap), self.worth_holding(model))
 
     def worth_holding(self, model: Model) -> float:
-        """How long a copy may stand idle for one task before its memory costs more than a late answer does."""
+        """How long a copy may stand idle for one task before its memory costs more than a miss does."""
         s = self.settings
         memory = sum(r.facts.memory for r in self.runners) / max(model.facts.memory, 1.0)
         tasks = max(self.rate, 1.0) * s.front_ends / SECOND
@@ -340,14 +310,16 @@
                 return runner  # what stands already costs no load
             if copy is None or not (copy.held or self.now < copy.refused + self.settings.keep // 2):
                 free.append(runner)
-        return min(free[:CHOICES], key=lambda r: self.pace(r) * (1 + r.load), default=None)
+        return min(free[:CHOICES], key=self.busy, default=None)
 
     def order(self, copy: Copy, copies: int = 1) -> Order:
+        order = Order(copy.runner, copy.model, copies)
         if copies:
-            self.loading += not copy.stands
+            if not copy.stands:
+                self.loads.add(order)
             copy.ordered = copy.touched = self.now
             self.orders.append(self.now)
-        return Order(copy.runner, copy.model, copies)
+        return order
 
     def may_order(self, runner: Runner) -> bool:
         """The ration, counted with a tick to spare on both sides, and the drain rule for orders."""
@@ -366,7 +338,7 @@
         copy = self.copy(order.model, order.runner)
         if order.copies:
             copy.ordered = 0
-            self.loading = max(0, self.loading - (not copy.stands))
+            self.loads.discard(order)
             if result is Result.SATISFIED:
                 self.load_room += 1 / self.load_room
             elif self.now - self.load_cut > SECOND:
@@ -380,19 +352,12 @@
             if copy.stands and not order.copies:
                 # what stood unused when asked is the first to be pushed out by the next load
                 copy.touched = max(copy.touched, self.now - self.settings.keep + SECOND)
-        elif result is not Result.SATISFIED:
+        else:
             copy.stands = copy.held = False
         if order.copies and not copy.stands:
             copy.held = False
             copy.refused = self.now
 
-    def reported(self, runner: Any, report: Report) -> None:
-        pass
-
-    def probed(self, runner: Any, result: Result, report: Report | None) -> None:
-        if result is Result.SATISFIED:
-            self.alive(runner)
-
     # -- which runner may take what
 
     def may_go(self, runner: Runner) -> bool:
@@ -432,19 +397,18 @@
 
     def place(self, task: Task, but: set[Runner]) -> Runner | None:
         """Where last seen warm; else the less busy of two random holders; else next in the shared order."""
-        model = task.model
+        model: Model = task.model
         known = [c for c in model.copies.values() if (self.warm(c) or c.ordered) and self.usable(c.runner)]
         fits = [c for c in known if c.runner not in but and self.fit(task, c.runner)]
         warm = [c for c in fits if self.warm(c)]
         warm = [c for c in warm if c.held] or warm  # what no order holds may lapse
-        home = model.copies.get(model.home) if model.home else None
-        if home in warm and home.out < model.facts.lanes and not self.crowded(home.runner):
-            return home.runner
+        for copy in warm:
+            if copy.runner is model.home and copy.out < model.facts.lanes and not self.crowded(model.home):
+                return model.home
         holders = [c for c in warm if not self.crowded(c.runner)] or warm or fits
         if holders:
-            first = holders[int(self.pick() * len(holders))]
-            second = holders[int(self.pick() * len(holders))]
-            return min(first, second, key=lambda c: self.busy(c.runner)).runner
+            two = [holders[int(self.pick() * len(holders))] for _ in range(2)]
+            return min(two, key=lambda c: self.busy(c.runner)).runner
         if known:  # a load where the holders are full would push out what others need
             return None
         for runner in self.shared_order(model):
@@ -452,12 +416,8 @@
                 return runner
         return None
 
-    def weigh(self, runner: Runner) -> None:
-        runner.area += runner.running * (self.now - runner.weighed)
-        runner.weighed = self.now
-
     def pace(self, runner: Runner) -> float:
-        """How many times longer than usual its tasks take: slow cores and other dispatchers' tasks both show."""
+        """How many times longer than usual tasks take: slow cores and others' tasks both show."""
         ratio = runner.ratio
         return (2 + self.run_latency(ratio) * ratio.total / PAR) / (2 + ratio.total)
 
@@ -477,7 +437,11 @@
         return rate > 0 and self.pick() > customer.quota / rate
 
     def fit(self, task: Task, runner: Runner) -> bool:
-        return self.usable(runner) and self.room(runner, SPARE if task.spare else 1.0) and self.may_repeat(task, runner)
+        return (
+            self.usable(runner)
+            and self.room(runner, SPARE if task.spare else 1.0)
+            and self.may_repeat(task, runner)
+        )
 
     def may_repeat(self, task: Task, runner: Runner) -> bool:
         """No effect twice: the rule's guard, asked before each hand-off."""
@@ -518,6 +482,9 @@
             if further:
                 runner.credit -= 1
             tried.add(runner)
+            copy = self.copy(model, runner)
+            if not s.loads_on_miss and not self.warm(copy) and not copy.ordered and self.may_order(runner):
+                yield self.order(copy)
             hand_off = self.hand_off(task, runner, last)
             yield hand_off
             while hand_off.result is None:
@@ -530,28 +497,20 @@
                         break
                     if s.call_off:
                         yield CallOff(hand_off)
-            if model.copies[runner].out == 0 and hand_off.result is Result.MISSING:
-                model.copies[runner].stands = False
         while any(h.result is None for h in task.hand_offs):
             answer = yield Wait(last + s.tick)
             if answer is None or answer.final:
                 break
-            continue
         if any(h.result is Result.SATISFIED for h in task.hand_offs):
             return
-        yield self.give_up(task)
-
-    def give_up(self, task: Task) -> Action:
-        if self.may_turn_back(task):
-            return TurnBack(task, self.settings.turn_back_wait)
-        return Scrap(task)
+        yield TurnBack(task, s.turn_back_wait) if self.may_turn_back(task) else Scrap(task)
 
     def closed(self, task: Task) -> list[Action]:
-        """A task that is over leaves nothing waiting: work for clients that left or were answered is waste."""
+        """A task that is over leaves nothing waiting: work for clients that left is waste."""
         return [CallOff(h) for h in task.hand_offs if h.result is None and self.settings.call_off]
 
     def count(self, task: Task) -> Steps:
-        """Notes a task; a first sight asks where the model stands, a rate above Rmax runs the check at once."""
+        """A first sight asks where the model stands; a rate above Rmax runs the check at once."""
         model, s = task.model, self.settings
         self.taken.append(self.now)
         if not s.ration_window and len(self.taken) > 1:
@@ -564,8 +523,8 @@
             until = self.now + 10 * MS
             while model.asks and self.now < until:
                 yield Wait(self.now + s.tick)
-            standing = (r for r in self.shared_order(model) if r in model.copies and self.warm(model.copies[r]))
-            model.home = next(standing, None)
+            standing = {c.runner: None for c in model.copies.values() if self.warm(c)}
+            model.home = next((r for r in self.shared_order(model) if r in standing), None)
         model.tasks += 1
         model.cost += (task.cost - model.cost) / min(model.tasks, 60)
         model.last = self.now
@@ -593,7 +552,6 @@
         hand_off = HandOff(task, runner, last - self.now, self.now, int(self.warm(copy)))
         if not copy.stands and not copy.ordered:
             copy.ordered = self.now
-        self.weigh(runner)
         runner.running += hand_off.expected
         self.running += hand_off.expected
         task.hand_offs.append(hand_off)
@@ -618,7 +576,6 @@
         task, runner, lag = hand_off.task, hand_off.runner, answer.lag
         model, copy = task.model, self.copy(task.model, runner)
         hand_off.result = result
-        self.weigh(runner)
         runner.out -= 1
         runner.running -= hand_off.expected
         self.running -= hand_off.expected
@@ -647,7 +604,7 @@
             elif not self.settings.tells_warm:
                 model.latency.add(lag)
         elif result is Result.MISSING:
-            copy.stands, copy.ordered = False, 0
+            copy.stands = False
         elif result is Result.FULL:
             self.widen(runner, 2 * task.offering.soft_limit, task.offering.soft_limit)
             runner.fulls += 1
@@ -660,8 +617,11 @@
             runner.silent += 1
             runner.waiting = self.now
 
+        if result is not Result.SATISFIED and not copy.out:
+            copy.ordered = 0  # the load that they waited for failed, or never began
+
     def widen(self, runner: Runner, lag: int, soft: int) -> None:
-        """Own tasks at a runner: one more a full round in time, a tenth fewer when late, once a soft limit."""
+        """Own tasks at a runner: one more a round in time, a tenth fewer when late, once a soft limit."""
         runner.late += ((lag > soft) - runner.late) / 8
         if lag <= soft // 2:
             if runner.running + 1 > runner.width / 2:
--- a/martenlead/engine.py
+++ b/martenlead/engine.py
@@ -10,7 +10,7 @@
 from heapq import heappop, heappush
 
 from martenlead.brain import Brain
-from martenlead.interface import Action, Answer, Order, Report, Result, Steps, Task, Wait
+from martenlead.interface import Action, Answer, Order, Result, Steps, Task, Wait
 
 
 class Process:
@@ -46,9 +46,6 @@
     def ordered(self, order: Order, result: Result, copies: int) -> None:
         self.brain.ordered(order, result, copies)
 
-    def probed(self, runner: object, result: Result, report: Report | None) -> None:
-        self.brain.probed(runner, result, report)
-
     def closed(self, task: Task) -> None:
         if task.process.alive:
             task.process.alive = False
--- a/martenlead/interface.py
+++ b/martenlead/interface.py
@@ -83,22 +83,17 @@
     hand_offs: int
     twice_out: bool
     call_off: bool
-    probes: bool
     orders: bool
     tells_warm: bool
     loads_on_miss: bool
     turn_back_wait: int
     keep: int
-    order_limit: int
     ration_window: int
     ration_free: float
     ration_share: float
-    drain_grace: int
     cold_from: float
     cold: int
     fall_multiple: float
-    fall: int
-    zone: str
     over_share: float
     memory_price: float  # of all memory idle all day, in the revenue of all tasks
     miss_price: float  # of one late answer and one fetch, in the revenue of one task
@@ -127,14 +122,6 @@
     memory: float
 
 
-@dataclass(slots=True, eq=False)
-class Report:
-    """What a runner tells of its load; a figure that is not told is None."""
-
-    busy: float | None = None
-    loads: float | None = None
-
-
 @dataclass(slots=True, eq=False)
 class Task:
     model: Any
@@ -201,15 +188,10 @@
     copies: int
 
 
-@dataclass(slots=True, eq=False)
-class Probe:
-    runner: Any
-
-
 @dataclass(slots=True, eq=False)
 class AskRoster:
     """Ask for roster changes from now on."""
 
 
-Action = HandOff | Wait | TurnBack | Scrap | CallOff | Order | Probe | AskRoster
+Action = HandOff | Wait | TurnBack | Scrap | CallOff | Order | AskRoster
 Steps = Generator[Action, Any, None]
