--- a/martenlead/benchlink/settings.py
+++ b/martenlead/benchlink/settings.py
@@ -36,7 +36,6 @@
         memory = family.get("kind-memory-mb") or []
         self.memory = dict(zip(told.get("skus", []), memory, strict=False))
         self.silent_weights = told.get("weights", "silent") == "silent"
-        late = min((c.get("late-value", 0.0) for c in told["classes"]), default=0.0)
         self.settings = Settings(
             front_ends=told["balancers"],
             tick=ns(told["granularity"]),
@@ -56,7 +55,8 @@
             fall_multiple=rules["fall-multiple"],
             over_share=told.get("over-share-worth", 1.0),
             memory_price=family.get("memory-price", 0.0),
-            miss_price=1 - late + told.get("prices", {}).get("origin", 0.0),
+            late_revenue=min((c.get("late-value", 0.0) for c in told["classes"]), default=0.0),
+            fetch_price=told.get("prices", {}).get("origin", 0.0),
             asks_roster=told.get("registry-mode") == "on_request",
             roster_every=ns(rules.get("ask-every") or 10),
             offerings=list(self.offerings.values()),
--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -226,7 +226,7 @@
         need = rate * self.settings.front_ends
         held = [c for c in model.copies.values() if c.held and self.usable(c.runner)]
         most = sum(self.capacity(c) for c in held)
-        while need > HIGH * most and model.added < NEW_COPIES:
+        while need > HIGH * most and model.added < NEW_COPIES and self.wanted(model):
             runner = self.next_place(model)
             if runner is None:
                 break
@@ -266,7 +266,8 @@
         s = self.settings
         memory = sum(r.facts.memory for r in self.runners) / max(model.facts.memory, 1.0)
         tasks = max(self.rate, 1.0) * s.front_ends / SECOND
-        return s.miss_price * memory / (s.memory_price * tasks) if s.memory_price else math.inf
+        missed = 1 - s.late_revenue + s.fetch_price
+        return missed * memory / (s.memory_price * tasks) if s.memory_price else math.inf
 
     def capacity(self, copy: Copy) -> float:
         if copy.runner.fulls > 1:
@@ -487,7 +488,7 @@
                 yield self.order(copy)
             hand_off = self.hand_off(task, runner, last)
             yield hand_off
-            while hand_off.result is None:
+            while hand_off.result is None and self.now <= last:  # never waits on past the give-up time
                 slow = max(task.offering.soft_limit // 2, 2 * model.latency.quantile(0.95))
                 answer = yield Wait(min(last + s.tick, self.now + slow))
                 if answer is not None and answer.final:
--- a/martenlead/interface.py
+++ b/martenlead/interface.py
@@ -96,7 +96,8 @@
     fall_multiple: float
     over_share: float
     memory_price: float  # of all memory idle all day, in the revenue of all tasks
-    miss_price: float  # of one late answer and one fetch, in the revenue of one task
+    late_revenue: float  # of a late answer, as a part
+    fetch_price: float  # of one fetch, in the revenue of one task
     asks_roster: bool
     roster_every: int
     offerings: list[Offering] = field(default_factory=list)
--- /dev/null
+++ b/tests/play.py
@@ -0,0 +1,138 @@
+"""Plays a dispatcher by hand: a clock, named runners and models, and a trace of what is decided."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from martenlead import interface as io
+from martenlead.brain import Brain
+from martenlead.engine import Engine
+
+MS = 1_000_000
+CHECK = io.Offering(500 * MS, io.Effect.IDEMPOTENT, io.Group.ALL, 0, 1.0)
+POST = io.Offering(300 * MS, io.Effect.DEDUPLICATED, io.Group.ZONE, 8000 * MS, 5.0)
+ONCE = io.Offering(300 * MS, io.Effect.UNREPEATABLE, io.Group.ALL, 0, 1.0)
+SETTINGS = io.Settings(
+    front_ends=1,
+    tick=2 * MS,
+    hand_offs=3,
+    twice_out=False,
+    call_off=True,
+    orders=True,
+    tells_warm=True,
+    loads_on_miss=True,
+    turn_back_wait=500 * MS,
+    keep=8000 * MS,
+    ration_window=0,
+    ration_free=0,
+    ration_share=0,
+    cold_from=0.2,
+    cold=10_000 * MS,
+    fall_multiple=2.5,
+    over_share=0.2,
+    late_revenue=0.2,
+    fetch_price=0.04,
+    memory_price=0.0,
+    asks_roster=False,
+    roster_every=10_000 * MS,
+    offerings=[CHECK, POST, ONCE],
+)
+
+
+class Play:
+    def __init__(self, runners: str = "abc", **changes: Any) -> None:
+        self.lines: list[str] = []
+        self.brain = Brain(replace(SETTINGS, **changes), 7)
+        self.engine = Engine(self.brain, self.out)
+        self.names: dict[Any, str] = {}
+        self.hand_offs: list[io.HandOff] = []
+        self.orders: list[io.Order] = []
+        self.runners = {name: self.brain.runner(self.facts(name)) for name in runners}
+        self.names |= {runner: name for name, runner in self.runners.items()}
+        self.models: dict[str, Any] = {}
+        self.list_all()
+        self.engine.begin()
+
+    def facts(self, name: str, state: io.State = io.State.UP, since: int = 0) -> io.RunnerFacts:
+        zone = "east" if name in "abc" else "west"
+        return io.RunnerFacts(ord(name), zone, 0, 50_000.0, 1.0, state, since * MS)
+
+    def list_all(self) -> None:
+        self.brain.roster([(r, r.facts) for r in self.runners.values()], True)
+
+    def list_one(self, name: str, state: io.State = io.State.UP, since: int = 0) -> None:
+        self.say(f"listed {name} {state.value}")
+        self.brain.roster([(self.runners[name], self.facts(name, state, since))], False)
+
+    def say(self, text: str) -> None:
+        self.lines.append(f"{self.brain.now // MS:6} {text}")
+
+    def out(self, action: io.Action) -> None:
+        match action:
+            case io.HandOff(task=task, runner=runner):
+                self.hand_offs.append(action)
+                self.say(f"{self.names[task]} -> {self.names[runner]}")
+            case io.Order(runner=runner, model=model, copies=copies):
+                self.orders.append(action)
+                self.say(f"{'hold' if copies else 'ask'} {self.names[model]} at {self.names[runner]}")
+            case io.TurnBack(task=task, wait=wait):
+                self.say(f"{self.names[task]} turned back, come again in {wait // MS}")
+            case io.Scrap(task=task):
+                self.say(f"{self.names[task]} scrapped")
+            case io.CallOff(hand_off=hand_off):
+                self.say(f"{self.names[hand_off.task]} called off at {self.names[hand_off.runner]}")
+
+    def task(
+        self, name: str, model: str = "m", offering: io.Offering = CHECK, patience: int = 4000, **more: Any
+    ) -> Any:
+        if model not in self.models:
+            self.models[model] = self.brain.model(io.ModelFacts(ord(model), 2, 3000.0))
+            self.names[self.models[model]] = model
+        give_up = self.brain.now + patience * MS
+        task = io.Task(self.models[model], offering, more.get("customer"), give_up, False, 0.0)
+        self.names[task] = name
+        self.engine.take(task)
+        return task
+
+    def answer(
+        self, result: io.Result = io.Result.SATISFIED, warmth: io.Warmth = io.Warmth.WARM, which: int = -1
+    ) -> None:
+        hand_off = self.hand_offs.pop(which)
+        self.say(f"{self.names[hand_off.task]} {result.value} at {self.names[hand_off.runner]}")
+        lag = self.brain.now - hand_off.sent
+        final = result is io.Result.SATISFIED
+        self.engine.answered(io.Answer(hand_off, result, final, warmth, lag))
+        if final:
+            self.engine.closed(hand_off.task)
+
+    def stands(self, places: str = "", result: io.Result = io.Result.SATISFIED) -> None:
+        """Answers all orders out: asks find copies at `places`, holds end as told."""
+        orders, self.orders = self.orders, []
+        for order in orders:
+            there = int(order.copies > 0 and result is io.Result.SATISFIED)
+            there = there or int(self.names[order.runner] in places)
+            self.engine.ordered(order, result if order.copies else io.Result.SATISFIED, there)
+
+    def to(self, ms: int) -> None:
+        """Moves the clock, stopping wherever something is due."""
+        while (due := self.engine.due()) is not None and due <= ms * MS:
+            self.brain.now = max(self.brain.now, due)
+            self.engine.advance(self.brain.now)
+        self.brain.now = ms * MS
+
+    def served(self, times: int, model: str = "m", every: int = 50) -> None:
+        """Warm answers in plenty, left out of the trace."""
+        kept = len(self.lines)
+        for _ in range(times):
+            self.task("-", model)
+            self.stands()
+            self.to(self.brain.now // MS + every)
+            self.answer()
+        del self.lines[kept:]
+
+
+def check(play: Play, name: str) -> None:
+    path = Path(__file__).parent / "traces" / f"{name}.txt"
+    assert "\n".join(play.lines) + "\n" == path.read_text(), f"differs from {path.name}"
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,88 @@
+"""The ordinary path of the design, and the failures found on it."""
+
+from martenlead import interface as io
+from tests.play import MS, Play, check
+
+
+def test_first_sight_asks_then_sticks() -> None:
+    play = Play()
+    play.task("t1")
+    play.stands("b")
+    play.to(20)
+    play.to(100)
+    play.answer()
+    play.task("t2")
+    play.stands()
+    play.to(200)
+    play.answer()
+    check(play, "first_sight")
+
+
+def test_copies_are_added_renewed_and_released() -> None:
+    play = Play()
+    play.served(3, every=300)
+    for ms in range(1000, 12_000, 500):
+        play.to(ms)
+        play.stands()
+        if ms < 6000:
+            play.served(9, every=20)
+    check(play, "check")
+
+
+def test_burst_runs_the_check_at_once() -> None:
+    play = Play()
+    play.served(60, every=100)
+    play.to(8500)
+    play.stands()
+    for n in range(12):
+        play.task(f"t{n}")
+        play.stands()
+    check(play, "burst")
+
+
+def test_one_off_models_get_no_copy() -> None:
+    play = Play()
+    play.task("t1", "x")
+    play.stands()
+    play.to(1500)
+    play.answer(warmth=io.Warmth.BEGAN)
+    play.to(6000)
+    check(play, "one_off")
+
+
+def test_full_holders_make_copies_grow_elsewhere_without_a_load_by_task() -> None:
+    play = Play()
+    play.served(5, every=400)
+    play.to(2500)
+    play.stands()
+    for n in range(3):
+        play.task(f"t{n}")
+        play.answer(io.Result.FULL)
+    play.to(4500)
+    play.stands()
+    check(play, "full")
+
+
+def test_lower_quartile_where_warmth_is_not_told() -> None:
+    play = Play(tells_warm=False)
+    play.served(6, every=100)
+    play.task("slow")
+    play.to(3000)
+    play.answer(warmth=io.Warmth.UNTOLD)
+    play.say(f"run latency {play.brain.run_latency(play.models['m'].latency) // MS}")
+    check(play, "quartile")
+
+
+def test_a_late_runner_narrows_and_tasks_over_a_share_go_first() -> None:
+    customer = io.Customer(1.0)
+    play = Play(runners="a")
+    play.brain.rates[customer] = 1e9
+    play.served(1)
+    for n in range(9):
+        play.task(f"own{n}")
+    play.task("over", customer=customer)
+    for _ in range(9):
+        play.to(play.brain.now // MS + 700)
+        play.answer(which=0)
+    play.say(f"width {play.runners['a'].width:.1f}")
+    check(play, "share")
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,132 @@
+"""The five rules' guards, and bad input."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+from martenlead import interface as io
+from tests.play import ONCE, POST, Play, check
+
+
+def test_one_answer_in_time_and_at_once() -> None:
+    play = Play(runners="a")
+    play.served(1)
+    play.task("silent", patience=1000)
+    play.to(2000)
+    play.answer(io.Result.SILENT)
+    play.task("too late", patience=0)
+    check(play, "in_time")
+
+
+def test_no_effect_twice() -> None:
+    play = Play(runners="abde")
+    for offering, result in ((ONCE, io.Result.ERROR), (ONCE, io.Result.UNREACHED), (POST, io.Result.BROKEN)):
+        play.served(12)
+        play.task(f"{offering.effect.value} {result.value}", offering=offering)
+        play.answer(result)
+        if play.hand_offs:
+            play.to(play.brain.now // 1_000_000 + 10)
+            play.answer()
+    check(play, "no_effect_twice")
+
+
+def test_never_two_out_where_forbidden() -> None:
+    for twice in (False, True):
+        play = Play(twice_out=twice)
+        play.served(12)
+        for runner in play.runners.values():
+            runner.credit = 5.0
+            play.brain.copy(play.models["m"], runner).stands = True
+            play.brain.copy(play.models["m"], runner).touched = play.brain.now
+        play.task("t")
+        play.to(2500)
+        if not twice:
+            play.answer(io.Result.CALLED_OFF)
+        check(play, f"twice_out_{twice}")
+
+
+def test_a_further_hand_off_needs_credit() -> None:
+    play = Play()
+    for runner in play.runners.values():
+        runner.credit = 0.0
+    play.task("t")
+    play.stands()
+    play.to(50)
+    play.answer(io.Result.UNREACHED)
+    check(play, "credit")
+
+
+def test_nothing_for_a_draining_runner() -> None:
+    play = Play(runners="a")
+    play.served(5)
+    play.list_one("a", io.State.DRAINING)
+    play.task("t1")
+    play.to(9000)
+    play.list_one("a", io.State.UP, since=9000)
+    check(play, "drain")
+
+
+def test_a_cold_runner_gets_a_part() -> None:
+    play = Play(runners="a")
+    play.served(60)
+    play.list_one("a", since=2900)
+    for ms in range(3100, 4000, 100):
+        play.to(ms)
+        play.task(f"t{ms}", patience=200)
+    check(play, "cold")
+
+
+def test_the_ration_of_load_orders() -> None:
+    play = Play(ration_window=10_000_000_000, ration_free=2, ration_share=0.0)
+    for n in range(4):
+        play.task(f"t{n}", "mnop"[n])
+        play.stands()
+        play.to(20 * n + 20)
+        play.task(f"u{n}", "mnop"[n])
+    check(play, "ration")
+
+
+def test_left_by_the_client() -> None:
+    play = Play()
+    task = play.task("t")
+    play.stands()
+    play.to(50)
+    play.engine.closed(task)
+    check(play, "left")
+
+
+@pytest.mark.parametrize("state", [None, io.State.DRAINING])
+def test_nowhere_to_go(state: io.State | None) -> None:
+    play = Play(runners="a" if state else "")
+    if state:
+        play.list_one("a", state)
+    play.task("t1")
+    check(play, f"nowhere_{state.value if state else 'empty'}")
+
+
+def test_a_model_that_fits_no_runner() -> None:
+    play = Play()
+    play.task("t1")
+    play.stands()
+    play.to(20)
+    while play.hand_offs:
+        play.answer(io.Result.FULL)
+    check(play, "fits_nowhere")
+
+
+def wire(*lines: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "martenlead.benchlink"]
+    return subprocess.run(command, input="\n".join(lines) + "\n", capture_output=True, text=True, check=False)
+
+
+def test_bad_lines_and_settings() -> None:
+    unknown = {"clock": 1.0, "happened": [{"msg": "news", "dispatcher": 0, "what": 1}], "more": 2}
+    missing = {"clock": 1.0, "happened": [{"msg": "hello", "dispatcher": 0, "seed": 1, "profile-data": {}}]}
+    played = wire(json.dumps(unknown), json.dumps(missing), "[1")
+    replies = [json.loads(line) for line in played.stdout.splitlines()]
+    panic = {"msg": "panic", "dispatcher": 0, "reason-text": "KeyError: 'allowed'"}
+    assert replies == [{"out": []}, {"out": [panic]}]
+    assert played.returncode == 1
+    assert played.stderr.startswith("not a batch: ") and played.stderr.count("\n") == 1
