--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -96,7 +96,7 @@
         self.out = 0
         self.held = False  # by an order of ours, to be renewed
         self.stands = False  # loaded, to our knowledge
-        self.touched = 0  # last use or order: the idle time runs from here at the earliest
+        self.touched = -1 << 62  # last use or order: the idle time runs from here at the earliest
         self.refused = -1 << 62  # when an order for it failed
         self.ordered = 0  # the order still out, since when
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -86,3 +86,33 @@
         play.answer(which=0)
     play.say(f"width {play.runners['a'].width:.1f}")
     check(play, "share")
+
+
+def believed(play: Play) -> None:
+    copies = play.models["m"].copies.values()
+    play.say(f"believed in: {' '.join(play.names[c.runner] for c in copies if play.brain.warm(c)) or 'none'}")
+
+
+def test_belief_ends_with_the_keep_alive_and_sooner_where_a_copy_stood_unused() -> None:
+    play = Play(runners="abcd")
+    play.task("t1")
+    play.stands("abcd")
+    play.to(20)
+    play.answer()
+    for ms in (900, 1100, 7900, 8100):
+        play.to(ms)
+        believed(play)
+    check(play, "belief")
+
+
+def test_refused_loads_halve_the_loads_out() -> None:
+    play = Play()
+    for ms, result in ((2500, io.Result.FULL), (2600, io.Result.FULL), (4000, io.Result.ERROR)):
+        play.task(f"t{ms}")
+        play.stands()
+        play.to(ms)
+        play.answer(io.Result.FULL)
+        play.task(f"u{ms}")
+        play.stands(result=result)
+        play.say(f"loads that may be out: {play.brain.load_room:.2f}")
+    check(play, "refused_loads")
