No asks at first sight; plain shared order where dispatchers are many; renewals thinned

Now the first hand-off goes by the order that all share, what hangs on the roster is made when it changes, renewals are divided over the front ends, and checks begin at moments of their own.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -15,29 +15,7 @@
 from typing import Any
 from zlib import crc32
 
-from martenlead.interface import (
-    NEVER_RAN,
-    Action,
-    Answer,
-    AskRoster,
-    CallOff,
-    Customer,
-    Effect,
-    Group,
-    HandOff,
-    ModelFacts,
-    Order,
-    Result,
-    RunnerFacts,
-    Scrap,
-    Settings,
-    State,
-    Steps,
-    Task,
-    TurnBack,
-    Wait,
-    Warmth,
-)
+from martenlead import interface as io
 
 MS = 1_000_000
 SECOND = 1000 * MS
@@ -46,7 +24,8 @@
 GAPS = 6  # a last copy is kept for so many of the model's mean gaps
 CREDIT_EARNED, CREDIT_MOST = 0.2, 10.0  # an answer earns, a further hand-off costs 1
 FIRST_WIDTH, LEAST_WIDTH = 16.0, 8.0  # of all dispatchers together, at one runner
-CHOICES = 3  # runners of the shared order that a new copy is chosen from
+RENEWERS = 3  # front ends that renew a copy, of all that hold it
+CHOICES = 6  # runners of the shared order that a new copy is chosen from, of all dispatchers together
 CROWDED = 1.3  # own tasks at a runner, against its part of all that are out
 FAIR = 0.5  # of a runner's part of all tasks: what one copy counts for at most
 LATE = 0.2  # a part of answers that long tasks alone do not make late
@@ -61,18 +40,20 @@
 
     def __init__(self) -> None:
         self.bins = [0.0] * 24
-        self.total = 0.0
+        self.total = self.sum = 0.0
 
     def add(self, lag: int) -> None:
         at = int(math.log(max(lag, MS) / MS) / BIN)
         self.bins[min(at, 23)] += 1
         self.total += 1
+        self.sum += lag
         if self.total > 60:
             self.halve()
 
     def halve(self) -> None:
         self.bins = [n / 2 for n in self.bins]
         self.total /= 2
+        self.sum /= 2
 
     def quantile(self, share: float) -> int:
         left = share * self.total
@@ -83,8 +64,7 @@
         return 0
 
     def mean(self) -> int:
-        weight = sum(n * math.exp(BIN * (at + 0.5)) for at, n in enumerate(self.bins))
-        return int(MS * weight / self.total) if self.total else 0
+        return int(self.sum / self.total) if self.total else 0
 
 
 class Copy:
@@ -102,8 +82,9 @@
 
 
 class Runner:
-    def __init__(self, facts: RunnerFacts, now: int, width: float) -> None:
+    def __init__(self, facts: io.RunnerFacts, now: int, width: float) -> None:
         self.facts = facts
+        self.listed, self.part = False, 0.0  # of all that the roster's runners can do
         self.out = self.running = 0  # hand-offs, and those of them that should have met a copy
         self.credit = 1.0
         self.width = width
@@ -115,7 +96,7 @@
 
 
 class Model:
-    def __init__(self, facts: ModelFacts, now: int) -> None:
+    def __init__(self, facts: io.ModelFacts, now: int) -> None:
         self.facts = facts
         self.copies: dict[Runner, Copy] = {}
         self.latency = Histogram()
@@ -126,57 +107,65 @@
         self.counts = [0, 0]  # tasks of this second, this period
         self.rate = self.cost = 0.0  # cost: mean of the hints
         self.first = now
-        self.last = self.tasks = self.asks = self.added = 0
+        self.last = self.tasks = self.added = 0
 
 
 class Brain:
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: io.Settings, seed: int) -> None:
         self.settings = settings
         chance = Random(seed)
         self.pick = chance.random
         self.now = 0
         self.runners: list[Runner] = []
         self.roster_version = 0
+        self.memory = 0.0
         self.models: dict[Model, None] = {}
         self.latency = Histogram()
         self.taken: deque[int] = deque()
         self.orders: deque[int] = deque()
         self.rate = 0.0  # satisfied tasks a second, slowly
         self.satisfied = self.running = 0
-        self.loads: set[Order] = set()  # own orders out that load
+        self.loads: set[io.Order] = set()  # own orders out that load
         self.load_room, self.load_cut = LOADS / settings.front_ends + 1, 0
-        self.served: dict[Customer, int] = {}
-        self.rates: dict[Customer, float] = {}
+        self.served: dict[io.Customer, int] = {}
+        self.rates: dict[io.Customer, float] = {}
         self.period = max(SECOND, settings.keep // 4)  # renewals need a few periods within the keep-alive
         self.soft = min((o.soft_limit for o in settings.offerings), default=SECOND)
 
     # -- objects for the door, and news of the roster
 
-    def runner(self, facts: RunnerFacts) -> Runner:
+    def runner(self, facts: io.RunnerFacts) -> Runner:
         return Runner(facts, self.now, max(2.0, FIRST_WIDTH / self.settings.front_ends))
 
-    def model(self, facts: ModelFacts) -> Model:
+    def model(self, facts: io.ModelFacts) -> Model:
         model = Model(facts, self.now)
         self.models[model] = None
         return model
 
-    def roster(self, news: Iterable[tuple[Any, RunnerFacts]], whole: bool) -> None:
+    def roster(self, news: Iterable[tuple[Any, io.RunnerFacts]], whole: bool) -> None:
         listed: dict[Runner, None] = {}
+        before = self.runners
         for runner, facts in news:
             listed[runner] = None
-            if facts.since != runner.facts.since and runner in self.runners:
+            if facts.since != runner.facts.since and runner.listed:
                 self.forget(runner)
             runner.facts = facts
         kept = [] if whole else [r for r in self.runners if r not in listed]
         for runner in self.runners:
             if whole and runner not in listed:
-                runner.facts.state = State.GONE
-        up = [r for r in listed if r.facts.state is not State.GONE]
+                runner.facts.state = io.State.GONE
+        up = [r for r in listed if r.facts.state is not io.State.GONE]
+        for runner in self.runners:
+            runner.listed = False
         self.runners = sorted(kept + up, key=lambda r: r.facts.mark)
+        weight = sum(r.facts.weight for r in self.runners) or 1.0
+        for runner in self.runners:
+            runner.listed, runner.part = True, runner.facts.weight / weight
+        self.memory = sum(r.facts.memory for r in self.runners)
         for runner in listed:
-            if runner.facts.state is not State.UP:
+            if runner.facts.state is not io.State.UP:
                 self.forget(runner)
-        self.roster_version += 1
+        self.roster_version += self.runners != before
 
     def forget(self, runner: Runner) -> None:
         """A process that restarted or goes holds nothing that was held before."""
@@ -189,21 +178,22 @@
 
     # -- what is asked of the fleet
 
-    def background(self) -> list[Steps]:
+    def background(self) -> list[io.Steps]:
         steps = [self.checks()]
         if self.settings.asks_roster:
             steps.append(self.ask_roster())
         return steps
 
-    def ask_roster(self) -> Steps:
+    def ask_roster(self) -> io.Steps:
         while True:
-            yield AskRoster()
-            yield Wait(self.now + self.settings.roster_every)
+            yield io.AskRoster()
+            yield io.Wait(self.now + self.settings.roster_every)
 
-    def checks(self) -> Steps:
+    def checks(self) -> io.Steps:
         """The periodic check of every model, the ones with most tasks first."""
+        yield io.Wait(self.now + int(self.pick() * self.period))  # many dispatchers must not check in step
         while True:
-            yield Wait(self.now + self.period)
+            yield io.Wait(self.now + self.period)
             rate = self.satisfied * SECOND / self.period
             self.rate = (self.rate + rate) / 2 if self.rate else rate
             self.satisfied = 0
@@ -220,7 +210,7 @@
                 if model.copies:
                     yield from self.check(model, model.rate)
 
-    def check(self, model: Model, rate: float) -> Steps:
+    def check(self, model: Model, rate: float) -> io.Steps:
         if not self.settings.orders:
             return
         need = rate * self.settings.front_ends
@@ -249,7 +239,9 @@
             held.pop().held = False
         for copy in held:
             if self.now - copy.touched > self.settings.keep // 2 and not copy.ordered:
-                if self.may_order(copy.runner):
+                if self.pick() * self.settings.front_ends > RENEWERS:
+                    copy.touched = self.now  # all hold the same copies: the renewals are the fleet's
+                elif self.may_order(copy.runner):
                     yield self.order(copy)
                 elif self.now - copy.touched > self.settings.keep:
                     copy.held = copy.stands = False
@@ -264,7 +256,7 @@
     def worth_holding(self, model: Model) -> float:
         """How long a copy may stand idle for one task before its memory costs more than a miss does."""
         s = self.settings
-        memory = sum(r.facts.memory for r in self.runners) / max(model.facts.memory, 1.0)
+        memory = self.memory / max(model.facts.memory, 1.0)
         tasks = max(self.rate, 1.0) * s.front_ends / SECOND
         missed = 1 - s.late_revenue + s.fetch_price
         return missed * memory / (s.memory_price * tasks) if s.memory_price else math.inf
@@ -282,9 +274,8 @@
 
     def fair(self, runner: Runner) -> float:
         """A runner's part of all tasks: no copy counts for more, since lanes are often more than cores."""
-        weight = sum(r.facts.weight for r in self.runners)
         rate = self.rate or math.inf  # a dispatcher just born must not take all copies for weak and load more
-        return rate * self.settings.front_ends * runner.facts.weight / weight if weight else 0.0
+        return rate * self.settings.front_ends * runner.part
 
     def run_latency(self, latency: Histogram) -> int:
         return latency.mean() if self.settings.tells_warm else latency.quantile(0.25)
@@ -301,25 +292,27 @@
         return model.order
 
     def next_place(self, model: Model) -> Runner | None:
-        """The least loaded of the next few in the shared order: dispatchers that see alike choose alike."""
-        free = []
+        """The least loaded of the next few in the shared order: a few dispatchers see alike and choose alike,
+        of many each sees little, so that only the plain next one brings their copies together."""
+        free: list[Runner] = []
         for runner in self.shared_order(model):
             copy = model.copies.get(runner)
+            if len(free) >= max(1, CHOICES // self.settings.front_ends):
+                break
             if not self.usable(runner) or self.cold(runner):
                 continue
             if copy and self.warm(copy) and not copy.held and not self.crowded(runner):
                 return runner  # what stands already costs no load
             if copy is None or not (copy.held or self.now < copy.refused + self.settings.keep // 2):
                 free.append(runner)
-        return min(free[:CHOICES], key=self.busy, default=None)
-
-    def order(self, copy: Copy, copies: int = 1) -> Order:
-        order = Order(copy.runner, copy.model, copies)
-        if copies:
-            if not copy.stands:
-                self.loads.add(order)
-            copy.ordered = copy.touched = self.now
-            self.orders.append(self.now)
+        return min(free, key=self.busy, default=None)
+
+    def order(self, copy: Copy) -> io.Order:
+        order = io.Order(copy.runner, copy.model, 1)
+        if not copy.stands:
+            self.loads.add(order)
+        copy.ordered = copy.touched = self.now
+        self.orders.append(self.now)
         return order
 
     def may_order(self, runner: Runner) -> bool:
@@ -335,34 +328,26 @@
             self.taken.popleft()
         return len(self.orders) + 1 <= s.ration_free + s.ration_share * len(self.taken)
 
-    def ordered(self, order: Order, result: Result, copies: int) -> None:
+    def ordered(self, order: io.Order, result: io.Result, copies: int) -> None:
         copy = self.copy(order.model, order.runner)
-        if order.copies:
-            copy.ordered = 0
-            self.loads.discard(order)
-            if result is Result.SATISFIED:
-                self.load_room += 1 / self.load_room
-            elif self.now - self.load_cut > SECOND:
-                # a store or runners that turn loads away get worse when pushed: own loads out are halved
-                self.load_cut, self.load_room = self.now, max(1.0, self.load_room / 2)
-        else:
-            order.model.asks -= 1
-        if result in (Result.SATISFIED, Result.FULL, Result.ERROR):
+        copy.ordered = 0
+        self.loads.discard(order)
+        if result is io.Result.SATISFIED:
+            self.load_room += 1 / self.load_room
+        elif self.now - self.load_cut > SECOND:
+            # a store or runners that turn loads away get worse when pushed: own loads out are halved
+            self.load_cut, self.load_room = self.now, max(1.0, self.load_room / 2)
+        copy.stands = result in (io.Result.SATISFIED, io.Result.FULL, io.Result.ERROR) and copies > 0
+        if result in (io.Result.SATISFIED, io.Result.FULL, io.Result.ERROR):
             self.alive(order.runner)
-            copy.stands = copies > 0
-            if copy.stands and not order.copies:
-                # what stood unused when asked is the first to be pushed out by the next load
-                copy.touched = max(copy.touched, self.now - self.settings.keep + SECOND)
-        else:
-            copy.stands = copy.held = False
-        if order.copies and not copy.stands:
+        if not copy.stands:
             copy.held = False
             copy.refused = self.now
 
     # -- which runner may take what
 
     def may_go(self, runner: Runner) -> bool:
-        return runner.facts.state is State.UP and runner in self.runners
+        return runner.listed and runner.facts.state is io.State.UP
 
     def usable(self, runner: Runner) -> bool:
         return self.may_go(runner) and not self.quiet(runner)
@@ -396,7 +381,7 @@
             return False
         return runner.running < runner.width * part
 
-    def place(self, task: Task, but: set[Runner]) -> Runner | None:
+    def place(self, task: io.Task, but: set[Runner]) -> Runner | None:
         """Where last seen warm; else the less busy of two random holders; else next in the shared order."""
         model: Model = task.model
         known = [c for c in model.copies.values() if (self.warm(c) or c.ordered) and self.usable(c.runner)]
@@ -430,57 +415,57 @@
         its part of our tasks out, is no home. The latter tells before any answer has."""
         return self.pace(runner) > CROWDED or runner.running > 2 + 2 * self.running / len(self.runners)
 
-    def over_share(self, customer: Customer | None) -> bool:
+    def over_share(self, customer: io.Customer | None) -> bool:
         """Counts as over its share as large a part of a customer's tasks as is beyond its quota."""
         if customer is None or self.settings.over_share >= 1:
             return False
         rate = self.rates.get(customer, 0.0) * self.settings.front_ends
         return rate > 0 and self.pick() > customer.quota / rate
 
-    def fit(self, task: Task, runner: Runner) -> bool:
+    def fit(self, task: io.Task, runner: Runner) -> bool:
         return (
             self.usable(runner)
+            and (runner.credit >= 1 or not task.hand_offs)
             and self.room(runner, SPARE if task.spare else 1.0)
             and self.may_repeat(task, runner)
         )
 
-    def may_repeat(self, task: Task, runner: Runner) -> bool:
+    def may_repeat(self, task: io.Task, runner: Runner) -> bool:
         """No effect twice: the rule's guard, asked before each hand-off."""
-        ran = [h for h in task.hand_offs if h.result not in NEVER_RAN]
+        ran = [h for h in task.hand_offs if h.result not in io.NEVER_RAN]
         if not self.settings.twice_out and any(h.result is None for h in ran):
             return False
         offering = task.offering
-        if not ran or offering.effect is Effect.IDEMPOTENT:
+        if not ran or offering.effect is io.Effect.IDEMPOTENT:
             return True
-        if offering.effect is Effect.UNREPEATABLE:
+        if offering.effect is io.Effect.UNREPEATABLE:
             return False
         if self.now + 4 * self.settings.tick >= ran[0].sent + offering.window:
             return False
         a, b = ran[0].runner.facts, runner.facts
-        if offering.group is Group.ALL:
+        if offering.group is io.Group.ALL:
             return True
-        return a.zone == b.zone if offering.group is Group.ZONE else (a.zone, a.cell) == (b.zone, b.cell)
+        return a.zone == b.zone if offering.group is io.Group.ZONE else (a.zone, a.cell) == (b.zone, b.cell)
 
-    def may_turn_back(self, task: Task) -> bool:
-        if task.offering.effect is Effect.IDEMPOTENT:
+    def may_turn_back(self, task: io.Task) -> bool:
+        if task.offering.effect is io.Effect.IDEMPOTENT:
             return True
-        if all(h.result in NEVER_RAN for h in task.hand_offs):
+        if all(h.result in io.NEVER_RAN for h in task.hand_offs):
             return True
-        return task.offering.effect is Effect.DEDUPLICATED and task.offering.group is Group.ALL
+        return task.offering.effect is io.Effect.DEDUPLICATED and task.offering.group is io.Group.ALL
 
     # -- a task from end to end
 
-    def task(self, task: Task) -> Steps:
+    def task(self, task: io.Task) -> io.Steps:
         model, s = task.model, self.settings
         yield from self.count(task)
         last = task.give_up - 3 * s.tick
         tried: set[Runner] = set()
         while self.now < last and len(task.hand_offs) < s.hand_offs:
-            further = bool(task.hand_offs)
-            runner = self.place(task, tried | {r for r in self.runners if further and r.credit < 1})
+            runner = self.place(task, tried)
             if runner is None:
                 break
-            if further:
+            if task.hand_offs:
                 runner.credit -= 1
             tried.add(runner)
             copy = self.copy(model, runner)
@@ -490,42 +475,32 @@
             yield hand_off
             while hand_off.result is None and self.now <= last:  # never waits on past the give-up time
                 slow = max(task.offering.soft_limit // 2, 2 * model.latency.quantile(0.95))
-                answer = yield Wait(min(last + s.tick, self.now + slow))
+                answer = yield io.Wait(min(last + s.tick, self.now + slow))
                 if answer is not None and answer.final:
                     return
                 if answer is None and self.gone_quiet(hand_off) and len(task.hand_offs) < s.hand_offs:
                     if s.twice_out:
                         break
                     if s.call_off:
-                        yield CallOff(hand_off)
+                        yield io.CallOff(hand_off)
         while any(h.result is None for h in task.hand_offs):
-            answer = yield Wait(last + s.tick)
+            answer = yield io.Wait(last + s.tick)
             if answer is None or answer.final:
                 break
-        if any(h.result is Result.SATISFIED for h in task.hand_offs):
+        if any(h.result is io.Result.SATISFIED for h in task.hand_offs):
             return
-        yield TurnBack(task, s.turn_back_wait) if self.may_turn_back(task) else Scrap(task)
+        yield io.TurnBack(task, s.turn_back_wait) if self.may_turn_back(task) else io.Scrap(task)
 
-    def closed(self, task: Task) -> list[Action]:
+    def closed(self, task: io.Task) -> list[io.Action]:
         """A task that is over leaves nothing waiting: work for clients that left is waste."""
-        return [CallOff(h) for h in task.hand_offs if h.result is None and self.settings.call_off]
+        return [io.CallOff(h) for h in task.hand_offs if h.result is None and self.settings.call_off]
 
-    def count(self, task: Task) -> Steps:
-        """A first sight asks where the model stands; a rate above Rmax runs the check at once."""
+    def count(self, task: io.Task) -> io.Steps:
+        """A rate above Rmax runs the check at once."""
         model, s = task.model, self.settings
         self.taken.append(self.now)
         if not s.ration_window and len(self.taken) > 1:
             self.taken.popleft()
-        if not model.tasks and s.orders:
-            for runner in self.runners:
-                if self.usable(runner):
-                    model.asks += 1
-                    yield self.order(self.copy(model, runner), 0)
-            until = self.now + 10 * MS
-            while model.asks and self.now < until:
-                yield Wait(self.now + s.tick)
-            standing = {c.runner: None for c in model.copies.values() if self.warm(c)}
-            model.home = next((r for r in self.shared_order(model) if r in standing), None)
         model.tasks += 1
         model.cost += (task.cost - model.cost) / min(model.tasks, 60)
         model.last = self.now
@@ -542,7 +517,7 @@
         if model.tasks > 1 and (not held or sure * s.front_ends > held):
             yield from self.check(model, model.counts[0])
 
-    def hand_off(self, task: Task, runner: Runner, last: int) -> HandOff:
+    def hand_off(self, task: io.Task, runner: Runner, last: int) -> io.HandOff:
         copy = self.copy(task.model, runner)
         runner.out += 1
         copy.out += 1
@@ -550,7 +525,7 @@
             runner.waiting = self.now
         if self.cold(runner):
             runner.cold_next = self.now + self.cold_gap(runner)
-        hand_off = HandOff(task, runner, last - self.now, self.now, int(self.warm(copy)))
+        hand_off = io.HandOff(task, runner, last - self.now, self.now, int(self.warm(copy)))
         if not copy.stands and not copy.ordered:
             copy.ordered = self.now
         runner.running += hand_off.expected
@@ -558,7 +533,7 @@
         task.hand_offs.append(hand_off)
         return hand_off
 
-    def gone_quiet(self, hand_off: HandOff) -> bool:
+    def gone_quiet(self, hand_off: io.HandOff) -> bool:
         return hand_off.runner.heard < hand_off.sent and bool(hand_off.expected)
 
     def warm(self, copy: Copy) -> bool:
@@ -572,7 +547,7 @@
 
     # -- what answers teach
 
-    def heard(self, answer: Answer) -> None:
+    def heard(self, answer: io.Answer) -> None:
         hand_off, result = answer.hand_off, answer.result
         task, runner, lag = hand_off.task, hand_off.runner, answer.lag
         model, copy = task.model, self.copy(task.model, runner)
@@ -581,13 +556,13 @@
         runner.running -= hand_off.expected
         self.running -= hand_off.expected
         copy.out -= 1
-        if result in (Result.SATISFIED, Result.ERROR, Result.FULL, Result.MISSING):
+        if result in (io.Result.SATISFIED, io.Result.ERROR, io.Result.FULL, io.Result.MISSING):
             self.alive(runner)
-        if result is Result.SATISFIED:
+        if result is io.Result.SATISFIED:
             self.satisfied += 1
             runner.fulls = 0
             runner.credit = min(CREDIT_MOST, runner.credit + CREDIT_EARNED)
-            warm = answer.warmth is Warmth.WARM if self.settings.tells_warm else bool(hand_off.expected)
+            warm = answer.warmth is io.Warmth.WARM if self.settings.tells_warm else bool(hand_off.expected)
             if model.home is None or not self.warm(model.copies[model.home]):
                 model.home = runner
             copy.touched = max(copy.touched, self.now)
@@ -604,21 +579,21 @@
                 self.widen(runner, lag, task.offering.soft_limit)
             elif not self.settings.tells_warm:
                 model.latency.add(lag)
-        elif result is Result.MISSING:
+        elif result is io.Result.MISSING:
             copy.stands = False
-        elif result is Result.FULL:
+        elif result is io.Result.FULL:
             self.widen(runner, 2 * task.offering.soft_limit, task.offering.soft_limit)
             runner.fulls += 1
-        elif result in (Result.UNREACHED, Result.BROKEN):
+        elif result in (io.Result.UNREACHED, io.Result.BROKEN):
             runner.silent += 1
             runner.waiting = self.now
             if model.home is runner:
                 model.home = None
-        elif result is Result.SILENT and runner.heard < hand_off.sent:
+        elif result is io.Result.SILENT and runner.heard < hand_off.sent:
             runner.silent += 1
             runner.waiting = self.now
 
-        if result is not Result.SATISFIED and not copy.out:
+        if result is not io.Result.SATISFIED and not copy.out:
             copy.ordered = 0  # the load that they waited for failed, or never began
 
     def widen(self, runner: Runner, lag: int, soft: int) -> None:
