Rates from as many tasks as chance needs; copies double; homes spread as copies come

Cause: a model's two or three tasks in a period, times 90 front ends, are mostly chance; two copies a period are too few for a model that needs fifteen; and all dispatchers that hold the same copies stuck to the first.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -20,7 +20,8 @@
 MS = 1_000_000
 SECOND = 1000 * MS
 HIGH, LOW = 0.8, 0.6  # the design's dead band
-NEW_COPIES = 2  # a model and period, as the design starts
+NEW_COPIES = 2  # a model and period, as the design starts; as many again as are held, once that is more
+ENOUGH, LONG = 16, 8  # tasks, or else periods, that a model's rate is taken from
 GAPS = 6  # a last copy is kept for so many of the model's mean gaps
 CREDIT_EARNED, CREDIT_MOST = 0.2, 10.0  # an answer earns, a further hand-off costs 1
 FIRST_WIDTH, LEAST_WIDTH = 16.0, 8.0  # of all dispatchers together, at one runner
@@ -105,7 +106,8 @@
         self.order_made = -1
         self.second = now
         self.counts = [0, 0]  # tasks of this second, this period
-        self.rate = self.cost = 0.0  # cost: mean of the hints
+        self.seen = self.cost = self.most = 0.0  # tasks within span; mean of the hints; Rmax
+        self.span = 0
         self.first = now
         self.last = self.tasks = self.added = 0
 
@@ -179,10 +181,7 @@
     # -- what is asked of the fleet
 
     def background(self) -> list[io.Steps]:
-        steps = [self.checks()]
-        if self.settings.asks_roster:
-            steps.append(self.ask_roster())
-        return steps
+        return [self.checks(), *([self.ask_roster()] if self.settings.asks_roster else [])]
 
     def ask_roster(self) -> io.Steps:
         while True:
@@ -204,19 +203,24 @@
                 runner.ratio.halve()
             models = sorted(self.models, key=lambda m: (-m.counts[1], m.facts.mark))
             for model in models:
-                # two periods, as what chance does to a few tasks is multiplied by the front ends
-                model.rate = (model.rate + model.counts[1] * SECOND / self.period) / 2
+                model.seen += model.counts[1]
+                model.span += self.period
                 model.counts, model.added, model.second = [0, 0], 0, self.now
                 if model.copies:
-                    yield from self.check(model, model.rate)
+                    yield from self.check(model, model.seen, model.span)
+                if model.seen > ENOUGH or model.span > LONG * self.period:
+                    model.seen, model.span = model.seen / 2, model.span // 2
 
-    def check(self, model: Model, rate: float) -> io.Steps:
+    def check(self, model: Model, seen: float, span: int) -> io.Steps:
+        """R is this rate times the front ends, which multiplies chance too: by one deviation of the count,
+        copies are added on the least that R may be and released on the most."""
         if not self.settings.orders:
             return
-        need = rate * self.settings.front_ends
+        need, chance = seen * self.settings.front_ends * SECOND / span, 1 / math.sqrt(max(seen, 1))
         held = [c for c in model.copies.values() if c.held and self.usable(c.runner)]
         most = sum(self.capacity(c) for c in held)
-        while need > HIGH * most and model.added < NEW_COPIES and self.wanted(model):
+        bound = max(NEW_COPIES, len(held))
+        while need * (1 - chance) >= HIGH * most and model.added < bound and self.wanted(model):
             runner = self.next_place(model)
             if runner is None:
                 break
@@ -229,12 +233,13 @@
             most += self.capacity(copy)
             held.append(copy)
             model.added += 1
-        if not model.added and need < LOW * most and len(held) > 1:
+        if not model.added and need * (1 + chance) < LOW * most and len(held) > 1:
             order = self.shared_order(model)
             weakest = min(held, key=lambda c: (self.capacity(c), -order.index(c.runner)))
             if need <= HIGH * (most - self.capacity(weakest)):
                 weakest.held = False
                 held.remove(weakest)
+        model.most = sum(self.capacity(c) for c in held)
         if len(held) == 1 and not self.wanted(model):
             held.pop().held = False
         for copy in held:
@@ -331,6 +336,7 @@
     def ordered(self, order: io.Order, result: io.Result, copies: int) -> None:
         copy = self.copy(order.model, order.runner)
         copy.ordered = 0
+        new = order in self.loads
         self.loads.discard(order)
         if result is io.Result.SATISFIED:
             self.load_room += 1 / self.load_room
@@ -338,6 +344,10 @@
             # a store or runners that turn loads away get worse when pushed: own loads out are halved
             self.load_cut, self.load_room = self.now, max(1.0, self.load_room / 2)
         copy.stands = result in (io.Result.SATISFIED, io.Result.FULL, io.Result.ERROR) and copies > 0
+        if copy.stands and new and self.pick() * sum(c.held for c in copy.model.copies.values()) < 1:
+            copy.model.home = (
+                copy.runner
+            )  # else the dispatchers that hold the same copies all stick to the first
         if result in (io.Result.SATISFIED, io.Result.FULL, io.Result.ERROR):
             self.alive(order.runner)
         if not copy.stands:
@@ -512,10 +522,9 @@
         if not task.again:
             model.counts[0] += 1
             model.counts[1] += 1
-        held = sum(self.capacity(c) for c in model.copies.values() if c.held)
         sure = model.counts[0] - 2 * math.sqrt(model.counts[0])  # above Rmax by more than chance
-        if model.tasks > 1 and (not held or sure * s.front_ends > held):
-            yield from self.check(model, model.counts[0])
+        if model.tasks > 1 and (not model.most or sure * s.front_ends > model.most):
+            yield from self.check(model, model.counts[0], SECOND)
 
     def hand_off(self, task: io.Task, runner: Runner, last: int) -> io.HandOff:
         copy = self.copy(task.model, runner)
