Cold runners: no floors a dispatcher, first tasks at random moments; widths below one

Cause: a first task at once from each of 90 dispatchers, and a floor of one task in 20 s, of two tasks out, each, add up to many times what a runner of three cores at a sixth of its capacity may get. Each dispatcher now waits a random part of its own gap first, and a width below one lets one task out at times.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -30,6 +30,7 @@
 CROWDED = 1.3  # own tasks at a runner, against its part of all that are out
 FAIR = 0.5  # of a runner's part of all tasks: what one copy counts for at most
 LATE = 0.2  # a part of answers that long tasks alone do not make late
+SAFE = 0.3  # of what a cold runner stands if it does as much as the mean one: some do half, chance does more
 SPARE = 0.5  # of a runner's width is kept from tasks over their customer's share
 PAR = SECOND // 10
 LOADS = 16.0  # orders out that load, of all dispatchers together, to begin with
@@ -92,7 +93,7 @@
         self.fulls = self.silent = 0  # turned away, or unanswered, in a row
         self.late = 0.0  # part of the last answers that came late
         self.heard = now
-        self.widened = self.waiting = self.cold_next = 0  # waiting: since when an answer is overdue
+        self.widened = self.waiting = self.next = 0  # waiting: since when an answer is overdue
         self.ratio = Histogram()  # of PAR, an answer that took as long as usual
 
 
@@ -137,7 +138,7 @@
     # -- objects for the door, and news of the roster
 
     def runner(self, facts: io.RunnerFacts) -> Runner:
-        return Runner(facts, self.now, max(2.0, FIRST_WIDTH / self.settings.front_ends))
+        return Runner(facts, self.now, FIRST_WIDTH / self.settings.front_ends)
 
     def model(self, facts: io.ModelFacts) -> Model:
         model = Model(facts, self.now)
@@ -376,20 +377,21 @@
         return bool(runner.facts.since) and self.now - runner.facts.since < self.settings.cold
 
     def cold_gap(self, runner: Runner) -> int:
-        """Time between tasks to a cold runner: half of this dispatcher's own part of what it stands.
+        """Time between tasks to a cold runner: a safe part of this dispatcher's own part of what it stands.
 
         The satisfied tasks of all dispatchers, a runner, are no more than a warm runner can do; each
         dispatcher counts its own only, so uneven traffic keeps the sum.
         """
         s = self.settings
         share = s.cold_from + (1 - s.cold_from) * (self.now - runner.facts.since) / max(s.cold, 1)
-        rate = 0.5 * s.fall_multiple * share * self.rate / max(1, len(self.runners))
-        return int(SECOND / max(rate, 0.05))
+        rate = SAFE * s.fall_multiple * share * self.rate * runner.part
+        return int(SECOND / max(rate, 1e-3))
 
     def room(self, runner: Runner, part: float) -> bool:
-        if self.cold(runner) and self.now < runner.cold_next:
-            return False
-        return runner.running < runner.width * part
+        if self.cold(runner) and runner.next < runner.facts.since:
+            # a first task at once from each of many dispatchers would be the push that the rule forbids
+            runner.next = self.now + int(self.pick() * self.cold_gap(runner))
+        return self.now >= runner.next and runner.running < max(1.0, runner.width * part)
 
     def place(self, task: io.Task, but: set[Runner]) -> Runner | None:
         """Where last seen warm; else the less busy of two random holders; else next in the shared order."""
@@ -533,7 +535,9 @@
         if runner.out == 1:
             runner.waiting = self.now
         if self.cold(runner):
-            runner.cold_next = self.now + self.cold_gap(runner)
+            runner.next = self.now + self.cold_gap(runner)
+        elif runner.width < 1:  # of many dispatchers, less than one task each: one at times
+            runner.next = self.now + int((1 / runner.width - 1) * self.run_latency(self.latency))
         hand_off = io.HandOff(task, runner, last - self.now, self.now, int(self.warm(copy)))
         if not copy.stands and not copy.ordered:
             copy.ordered = self.now
@@ -610,7 +614,7 @@
         runner.late += ((lag > soft) - runner.late) / 8
         if lag <= soft // 2:
             if runner.running + 1 > runner.width / 2:
-                runner.width += 1 / runner.width
+                runner.width += min(1 / runner.width, runner.width / 4)
         elif runner.late > LATE and lag > soft and self.now - runner.widened > soft:
             runner.widened = self.now
-            runner.width = max(1.0, LEAST_WIDTH / self.settings.front_ends, runner.width * 0.9)
+            runner.width = max(LEAST_WIDTH / self.settings.front_ends, runner.width * 0.9)
