A runner's pace is kept until enough answers tell it; a late answer ends a home

Cause: at full size a dispatcher hears an answer from a runner every few seconds, and its pace was forgotten every two. When most answers are late, homes change all the time: harmless among holders.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -31,6 +31,7 @@
 FAIR = 0.5  # of a runner's part of all tasks: what one copy counts for at most
 LATE = 0.2  # a part of answers that long tasks alone do not make late
 SAFE = 0.3  # of what a cold runner stands if it does as much as the mean one: some do half, chance does more
+NEWS = 4  # answers that tell a runner's pace: where few come, they are kept for longer
 SPARE = 0.5  # of a runner's width is kept from tasks over their customer's share
 PAR = SECOND // 10
 LOADS = 16.0  # orders out that load, of all dispatchers together, to begin with
@@ -201,7 +202,8 @@
                 self.rates[customer] = (self.rates.get(customer, 0.0) + tasks * SECOND / self.period) / 2
                 self.served[customer] = 0
             for runner in self.runners:
-                runner.ratio.halve()
+                if runner.ratio.total > NEWS:
+                    runner.ratio.halve()
             models = sorted(self.models, key=lambda m: (-m.counts[1], m.facts.mark))
             for model in models:
                 model.seen += model.counts[1]
@@ -587,6 +589,8 @@
                     usual = int(usual * task.cost / model.cost)
                 if usual:
                     runner.ratio.add(PAR * lag // usual)
+                if lag > 2 * usual and model.home is runner:
+                    model.home = None  # of many dispatchers, each moves on by what it meets itself
                 for latency in (copy.latency, model.latency, self.latency):
                     latency.add(lag)
                 self.widen(runner, lag, task.offering.soft_limit)
