--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -21,6 +21,7 @@
 SECOND = 1000 * MS
 HIGH, LOW = 0.8, 0.6  # the design's dead band
 NEW_COPIES = 2  # a model and period, as the design starts; as many again as are held, once that is more
+FIRST_PERIOD = SECOND // 4
 ENOUGH, LONG = 16, 8  # tasks, or else periods, that a model's rate is taken from
 GAPS = 6  # a last copy is kept for so many of the model's mean gaps
 CREDIT_EARNED, CREDIT_MOST = 0.2, 10.0  # an answer earns, a further hand-off costs 1
@@ -192,14 +193,17 @@
 
     def checks(self) -> io.Steps:
         """The periodic check of every model, the ones with most tasks first."""
-        yield io.Wait(self.now + int(self.pick() * self.period))  # many dispatchers must not check in step
+        yield io.Wait(self.now + int(self.pick() * FIRST_PERIOD))  # many dispatchers must not check in step
+        born = last = self.now
         while True:
-            yield io.Wait(self.now + self.period)
-            rate = self.satisfied * SECOND / self.period
+            # one just born holds nothing: its first periods are short, that its copies may double soon
+            yield io.Wait(self.now + min(self.period, max(FIRST_PERIOD, self.now - born)))
+            span, last = self.now - last, self.now
+            rate = self.satisfied * SECOND / span
             self.rate = (self.rate + rate) / 2 if self.rate else rate
             self.satisfied = 0
             for customer, tasks in self.served.items():
-                self.rates[customer] = (self.rates.get(customer, 0.0) + tasks * SECOND / self.period) / 2
+                self.rates[customer] = (self.rates.get(customer, 0.0) + tasks * SECOND / span) / 2
                 self.served[customer] = 0
             for runner in self.runners:
                 if runner.ratio.total > NEWS:
@@ -207,7 +211,7 @@
             models = sorted(self.models, key=lambda m: (-m.counts[1], m.facts.mark))
             for model in models:
                 model.seen += model.counts[1]
-                model.span += self.period
+                model.span += span
                 model.counts, model.added, model.second = [0, 0], 0, self.now
                 if model.copies:
                     yield from self.check(model, model.seen, model.span)
