--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -25,7 +25,7 @@
 ENOUGH, LONG = 16, 8  # tasks, or else periods, that a model's rate is taken from
 GAPS = 6  # a last copy is kept for so many of the model's mean gaps
 CREDIT_EARNED, CREDIT_MOST = 0.2, 10.0  # an answer earns, a further hand-off costs 1
-FIRST_WIDTH, LEAST_WIDTH = 16.0, 8.0  # of all dispatchers together, at one runner
+FIRST_WIDTH, LEAST_WIDTH = 16.0, 4.0  # of all dispatchers together, at one runner
 RENEWERS = 3  # front ends that renew a copy, of all that hold it
 CHOICES = 6  # runners of the shared order that a new copy is chosen from, of all dispatchers together
 CROWDED = 1.3  # own tasks at a runner, against its part of all that are out
@@ -618,11 +618,11 @@
             copy.ordered = 0  # the load that they waited for failed, or never began
 
     def widen(self, runner: Runner, lag: int, soft: int) -> None:
-        """Own tasks at a runner: one more a round in time, a tenth fewer when late, once a soft limit."""
+        """Own tasks at a runner: one more a round in time, a fifth fewer when late, once a soft limit."""
         runner.late += ((lag > soft) - runner.late) / 8
-        if lag <= soft // 2:
+        if lag <= soft // 2 and runner.late <= LATE:
             if runner.running + 1 > runner.width / 2:
                 runner.width += min(1 / runner.width, runner.width / 4)
         elif runner.late > LATE and lag > soft and self.now - runner.widened > soft:
             runner.widened = self.now
-            runner.width = max(LEAST_WIDTH / self.settings.front_ends, runner.width * 0.9)
+            runner.width = max(LEAST_WIDTH / self.settings.front_ends, runner.width * 0.8)
