--- a/martenlead/benchlink/settings.py
+++ b/martenlead/benchlink/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from martenlead.interface import Customer, Effect, Group, Offering, Settings
@@ -53,6 +54,7 @@
             cold_from=rules["cold-from"],
             cold=ns(rules["cold"]),
             fall_multiple=rules["fall-multiple"],
+            quota=sum(c.quota for c in self.customers.values()) or math.inf,
             over_share=told.get("over-share-worth", 1.0),
             memory_price=family.get("memory-price", 0.0),
             late_revenue=min((c.get("late-value", 0.0) for c in told["classes"]), default=0.0),
--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -35,7 +35,6 @@
 NEWS = 4  # answers that tell a runner's pace: where few come, they are kept for longer
 SPARE = 0.5  # of a runner's width is kept from tasks over their customer's share
 PAR = SECOND // 10
-LOADS = 16.0  # orders out that load, of all dispatchers together, to begin with
 BIN = math.log(1.5)
 
 
@@ -128,10 +127,9 @@
         self.latency = Histogram()
         self.taken: deque[int] = deque()
         self.orders: deque[int] = deque()
-        self.rate = 0.0  # satisfied tasks a second, slowly
+        self.rate = self.asked = 0.0  # tasks a second, satisfied and first tried, slowly
+        self.peers: float = settings.front_ends  # how many like this one carry all tasks
         self.satisfied = self.running = 0
-        self.loads: set[io.Order] = set()  # own orders out that load
-        self.load_room, self.load_cut = LOADS / settings.front_ends + 1, 0
         self.served: dict[io.Customer, int] = {}
         self.rates: dict[io.Customer, float] = {}
         self.period = max(SECOND, settings.keep // 4)  # renewals need a few periods within the keep-alive
@@ -202,6 +200,11 @@
             rate = self.satisfied * SECOND / span
             self.rate = (self.rate + rate) / 2 if self.rate else rate
             self.satisfied = 0
+            asked = sum(m.counts[1] for m in self.models) * SECOND / span
+            self.asked = (self.asked + asked) / 2 if self.asked else asked
+            # one that carries far more than its part must not take itself for the mean of many
+            peers = self.settings.quota / max(self.asked, 1e-9)
+            self.peers = max(1.0, peers) if 2 * peers < self.settings.front_ends else self.settings.front_ends
             for customer, tasks in self.served.items():
                 self.rates[customer] = (self.rates.get(customer, 0.0) + tasks * SECOND / span) / 2
                 self.served[customer] = 0
@@ -223,7 +226,7 @@
         copies are added on the least that R may be and released on the most."""
         if not self.settings.orders:
             return
-        need, chance = seen * self.settings.front_ends * SECOND / span, 1 / math.sqrt(max(seen, 1))
+        need, chance = seen * self.peers * SECOND / span, 1 / math.sqrt(max(seen, 1))
         held = [c for c in model.copies.values() if c.held and self.usable(c.runner)]
         most = sum(self.capacity(c) for c in held)
         bound = max(NEW_COPIES, len(held))
@@ -232,7 +235,7 @@
             if runner is None:
                 break
             copy = self.copy(model, runner)
-            if not self.may_order(runner) or not (self.warm(copy) or len(self.loads) < self.load_room):
+            if not self.may_order(runner):
                 break
             copy.held = True
             if not (copy.stands and copy.touched + self.settings.keep // 2 > self.now):
@@ -269,7 +272,7 @@
         """How long a copy may stand idle for one task before its memory costs more than a miss does."""
         s = self.settings
         memory = self.memory / max(model.facts.memory, 1.0)
-        tasks = max(self.rate, 1.0) * s.front_ends / SECOND
+        tasks = max(self.rate, 1.0) * self.peers / SECOND
         missed = 1 - s.late_revenue + s.fetch_price
         return missed * memory / (s.memory_price * tasks) if s.memory_price else math.inf
 
@@ -287,7 +290,7 @@
     def fair(self, runner: Runner) -> float:
         """A runner's part of all tasks: no copy counts for more, since lanes are often more than cores."""
         rate = self.rate or math.inf  # a dispatcher just born must not take all copies for weak and load more
-        return rate * self.settings.front_ends * runner.part
+        return rate * self.peers * runner.part
 
     def run_latency(self, latency: Histogram) -> int:
         return latency.mean() if self.settings.tells_warm else latency.quantile(0.25)
@@ -321,8 +324,6 @@
 
     def order(self, copy: Copy) -> io.Order:
         order = io.Order(copy.runner, copy.model, 1)
-        if not copy.stands:
-            self.loads.add(order)
         copy.ordered = copy.touched = self.now
         self.orders.append(self.now)
         return order
@@ -343,13 +344,7 @@
     def ordered(self, order: io.Order, result: io.Result, copies: int) -> None:
         copy = self.copy(order.model, order.runner)
         copy.ordered = 0
-        new = order in self.loads
-        self.loads.discard(order)
-        if result is io.Result.SATISFIED:
-            self.load_room += 1 / self.load_room
-        elif self.now - self.load_cut > SECOND:
-            # a store or runners that turn loads away get worse when pushed: own loads out are halved
-            self.load_cut, self.load_room = self.now, max(1.0, self.load_room / 2)
+        new = not copy.stands
         copy.stands = result in (io.Result.SATISFIED, io.Result.FULL, io.Result.ERROR) and copies > 0
         if copy.stands and new and self.pick() * sum(c.held for c in copy.model.copies.values()) < 1:
             copy.model.home = (
@@ -437,7 +432,7 @@
         """Counts as over its share as large a part of a customer's tasks as is beyond its quota."""
         if customer is None or self.settings.over_share >= 1:
             return False
-        rate = self.rates.get(customer, 0.0) * self.settings.front_ends
+        rate = self.rates.get(customer, 0.0) * self.peers
         return rate > 0 and self.pick() > customer.quota / rate
 
     def fit(self, task: io.Task, runner: Runner) -> bool:
@@ -531,7 +526,7 @@
             model.counts[0] += 1
             model.counts[1] += 1
         sure = model.counts[0] - 2 * math.sqrt(model.counts[0])  # above Rmax by more than chance
-        if model.tasks > 1 and (not model.most or sure * s.front_ends > model.most):
+        if model.tasks > 1 and (not model.most or sure * self.peers > model.most):
             yield from self.check(model, model.counts[0], SECOND)
 
     def hand_off(self, task: io.Task, runner: Runner, last: int) -> io.HandOff:
--- a/martenlead/interface.py
+++ b/martenlead/interface.py
@@ -95,6 +95,7 @@
     cold: int
     fall_multiple: float
     over_share: float
+    quota: float  # of all customers, tasks a second
     memory_price: float  # of all memory idle all day, in the revenue of all tasks
     late_revenue: float  # of a late answer, as a part
     fetch_price: float  # of one fetch, in the revenue of one task
--- a/tests/play.py
+++ b/tests/play.py
@@ -32,6 +32,7 @@
     cold=10_000 * MS,
     fall_multiple=2.5,
     over_share=0.2,
+    quota=1e9,
     late_revenue=0.2,
     fetch_price=0.04,
     memory_price=0.0,
