--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -33,9 +33,9 @@
 LATE = 0.2  # a part of answers that long tasks alone do not make late
 SAFE = 0.3  # of what a cold runner stands if it does as much as the mean one: some do half, chance does more
 NEWS = 4  # answers that tell a runner's pace: where few come, they are kept for longer
+GROWTH = 0.4  # of the ration is for new copies: renewals need the rest, and the store its peace
 SPARE = 0.5  # of a runner's width is kept from tasks over their customer's share
 PAR = SECOND // 10
-LOADS = 16.0  # orders out that load, of all dispatchers together, to begin with
 BIN = math.log(1.5)
 
 
@@ -131,8 +131,6 @@
         self.rate = self.asked = 0.0  # tasks a second, satisfied and first tried, slowly
         self.peers: float = settings.front_ends  # how many like this one carry all tasks
         self.satisfied = self.running = 0
-        self.loads: set[io.Order] = set()  # own orders out that load
-        self.load_room, self.load_cut = LOADS / settings.front_ends + 2, 0
         self.served: dict[io.Customer, int] = {}
         self.rates: dict[io.Customer, float] = {}
         self.period = max(SECOND, settings.keep // 4)  # renewals need a few periods within the keep-alive
@@ -238,7 +236,7 @@
             if runner is None:
                 break
             copy = self.copy(model, runner)
-            if not self.may_order(runner) or not (self.warm(copy) or len(self.loads) < self.load_room):
+            if not self.may_order(runner, GROWTH):
                 break
             copy.held = True
             if not (copy.stands and copy.touched + self.settings.keep // 2 > self.now):
@@ -327,13 +325,11 @@
 
     def order(self, copy: Copy) -> io.Order:
         order = io.Order(copy.runner, copy.model, 1)
-        if not copy.stands:
-            self.loads.add(order)
         copy.ordered = copy.touched = self.now
         self.orders.append(self.now)
         return order
 
-    def may_order(self, runner: Runner) -> bool:
+    def may_order(self, runner: Runner, part: float = 1.0) -> bool:
         """The ration, counted with a tick to spare on both sides, and the drain rule for orders."""
         s = self.settings
         if not self.may_go(runner):
@@ -344,18 +340,12 @@
             self.orders.popleft()
         while self.taken and self.taken[0] < self.now - s.ration_window + 2 * s.tick:
             self.taken.popleft()
-        return len(self.orders) + 1 <= s.ration_free + s.ration_share * len(self.taken)
+        return len(self.orders) + 1 <= part * (s.ration_free + s.ration_share * len(self.taken))
 
     def ordered(self, order: io.Order, result: io.Result, copies: int) -> None:
         copy = self.copy(order.model, order.runner)
         copy.ordered = 0
-        new = order in self.loads
-        self.loads.discard(order)
-        if result is io.Result.SATISFIED:
-            self.load_room += 1 / self.load_room
-        elif self.now - self.load_cut > SECOND:
-            # a store or runners that turn loads away get worse when pushed: own loads out are halved
-            self.load_cut, self.load_room = self.now, max(1.0, self.load_room / 2)
+        new = not copy.stands
         copy.stands = result in (io.Result.SATISFIED, io.Result.FULL, io.Result.ERROR) and copies > 0
         if copy.stands and new and self.pick() * sum(c.held for c in copy.model.copies.values()) < 1:
             copy.model.home = (
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -78,6 +78,19 @@
     check(play, "cold")
 
 
+def test_a_cold_runner_is_not_sent_a_first_task_at_once_by_each_of_many() -> None:
+    first = 0
+    for seed in range(90):
+        play = Play(runners="a", seed=seed, front_ends=90)
+        play.wide()
+        play.served(20, every=100)
+        play.list_one("a", since=2000)
+        play.task("t", patience=200)
+        first += len(play.hand_offs)
+    play.lines = [f"{first} of 90 at once"]
+    check(play, "cold_many")
+
+
 def test_the_ration_of_load_orders() -> None:
     play = Play(ration_window=10_000_000_000, ration_free=2, ration_share=0.0)
     for n in range(4):
