--- a/martenlead/benchlink/settings.py
+++ b/martenlead/benchlink/settings.py
@@ -36,10 +36,6 @@
         self.customers = {o["name"]: Customer(o["quota-per-s"]) for o in told.get("orgs", [])}
         memory = family.get("kind-memory-mb") or []
         self.memory = dict(zip(told.get("skus", []), memory, strict=False))
-        report = told.get("report", {})
-        fields = report.get("fields") or []
-        self.load_field = fields.index("busy") if "busy" in fields else None
-        pulled = self.load_field is not None and report.get("source") == "pull"
         self.silent_weights = told.get("weights", "silent") == "silent"
         self.settings = Settings(
             front_ends=told["balancers"],
@@ -63,8 +59,6 @@
             memory_price=family.get("memory-price", 0.0),
             late_revenue=min((c.get("late-value", 0.0) for c in told["classes"]), default=0.0),
             fetch_price=told.get("prices", {}).get("origin", 0.0),
-            probes=pulled and allowed.get("probes", False),
-            probe_price=told.get("prices", {}).get("probe", 0.0),
             asks_roster=told.get("registry-mode") == "on_request",
             roster_every=ns(rules.get("ask-every") or 10),
             offerings=list(self.offerings.values()),
--- a/martenlead/benchlink/wire.py
+++ b/martenlead/benchlink/wire.py
@@ -18,7 +18,6 @@
     HandOff,
     ModelFacts,
     Order,
-    Probe,
     Result,
     RunnerFacts,
     Scrap,
@@ -129,7 +128,6 @@
         hand_off = self.open.pop((ref, hop), None)
         if hand_off is None:
             return
-        self.report(event, now)
         final = bool(event.get("terminal"))
         warmth = WARMTH.get((event.get("note") or 0) % 8, Warmth.UNTOLD)
         result = RESULTS.get(event["reason"], Result.ERROR)
@@ -137,11 +135,6 @@
         if final:
             self.drop(ref)
 
-    def report(self, event: dict[str, Any], now: int) -> None:
-        row, at = event.get("feedback"), self.profile.load_field
-        if row and at is not None and at < len(row) and row[at] is not None:
-            self.brain.reported(self.runners[event["runner"]], row[at])
-
     def expired(self, event: dict[str, Any], now: int) -> None:
         self.drop(event["ref"])
 
@@ -168,7 +161,6 @@
         "expired": expired,
         "deadline-hit": timer,
         "in-place": in_place,
-        "health-result": report,
     }
 
     # -- actions
@@ -193,8 +185,6 @@
                 names = self.runner_ids[runner], self.model_ids[model]
                 self.orders.setdefault(names, []).append(action)
                 self.say("load", runner=names[0], fn=names[1], number=copies)
-            case Probe(runner=runner):
-                self.say("sound-out", runner=self.runner_ids[runner])
             case AskRoster():
                 self.say("stream-changes", want=True)
 
--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -34,8 +34,6 @@
 SAFE = 0.3  # of what a cold runner stands if it does as much as the mean one: some do half, chance does more
 NEWS = 4  # answers that tell a runner's pace: where few come, they are kept for longer
 GROWTH = 0.4  # of the ration is for new copies: renewals need the rest, and the store its peace
-PROBED = 0.01  # of the result may go for probes, where they alone tell a runner's load
-BUSY = 0.9  # a load that leaves no room for chance
 SPARE = 0.5  # of a runner's width is kept from tasks over their customer's share
 PAR = SECOND // 10
 BIN = math.log(1.5)
@@ -92,7 +90,7 @@
         self.facts = facts
         self.listed, self.part = False, 0.0  # of all that the roster's runners can do
         self.out = self.running = 0  # hand-offs, and those of them that should have met a copy
-        self.credit, self.load = 1.0, 0.0  # load: of its cores, as reported
+        self.credit = 1.0
         self.width = width
         self.fulls = self.silent = 0  # turned away, or unanswered, in a row
         self.late = 0.0  # part of the last answers that came late
@@ -185,21 +183,7 @@
     # -- what is asked of the fleet
 
     def background(self) -> list[io.Steps]:
-        more = [self.ask_roster()] * self.settings.asks_roster + [self.probes()] * self.settings.probes
-        return [self.checks(), *more]
-
-    def probes(self) -> io.Steps:
-        """Where only probes tell a load: some a task, each runner in turn, from places of one's own."""
-        s = self.settings
-        while True:
-            yield io.Wait(self.now + FIRST_PERIOD)
-            for runner in sorted(self.runners, key=lambda _: self.pick()):
-                yield io.Probe(runner)
-                gap = max(SECOND * s.probe_price / (PROBED * max(self.asked, 1.0)), self.soft / len(self.runners))
-                yield io.Wait(self.now + int(gap))
-
-    def reported(self, runner: Runner, load: float) -> None:
-        runner.load += (load - runner.load) / 2
+        return [self.checks(), *([self.ask_roster()] if self.settings.asks_roster else [])]
 
     def ask_roster(self) -> io.Steps:
         while True:
@@ -302,10 +286,12 @@
             lag = self.run_latency(self.latency) or self.soft // 4
         if lag > max(self.soft, 1.5 * self.run_latency(all_copies)):
             return 0.0
+        return min(copy.model.facts.lanes * SECOND / lag, max(1.0, FAIR * self.fair(copy.runner)))
+
+    def fair(self, runner: Runner) -> float:
+        """A runner's part of all tasks: no copy counts for more, since lanes are often more than cores."""
         rate = self.rate or math.inf  # a dispatcher just born must not take all copies for weak and load more
-        fair = rate * self.peers * copy.runner.part  # of all tasks: lanes are often more than cores
-        fair *= FAIR / 2 if self.crowded(copy.runner) else FAIR  # copies grow elsewhere
-        return min(copy.model.facts.lanes * SECOND / lag, max(1.0, fair))
+        return rate * self.peers * runner.part
 
     def run_latency(self, latency: Histogram) -> int:
         return latency.mean() if self.settings.tells_warm else latency.quantile(0.25)
@@ -322,15 +308,16 @@
         return model.order
 
     def next_place(self, model: Model) -> Runner | None:
-        """The next in the shared order; of the next few, where few dispatchers see much, the least loaded."""
+        """The least loaded of the next few in the shared order: a few dispatchers see alike and choose alike,
+        of many each sees little, so that only the plain next one brings their copies together."""
         free: list[Runner] = []
         for runner in self.shared_order(model):
             copy = model.copies.get(runner)
             if len(free) >= max(1, CHOICES // self.settings.front_ends):
                 break
-            if not self.usable(runner) or self.cold(runner) or self.crowded(runner):
+            if not self.usable(runner) or self.cold(runner):
                 continue
-            if copy and self.warm(copy) and not copy.held:
+            if copy and self.warm(copy) and not copy.held and not self.crowded(runner):
                 return runner  # what stands already costs no load
             if copy is None or not (copy.held or self.now < copy.refused + self.settings.keep // 2):
                 free.append(runner)
@@ -392,8 +379,11 @@
         return bool(runner.facts.since) and self.now - runner.facts.since < self.settings.cold
 
     def cold_gap(self, runner: Runner) -> int:
-        """Time between tasks to a cold runner. All satisfied tasks, a runner, are no more than a warm one
-        can do; each dispatcher goes by its own only, so that uneven traffic keeps the sum."""
+        """Time between tasks to a cold runner: a safe part of this dispatcher's own part of what it stands.
+
+        The satisfied tasks of all dispatchers, a runner, are no more than a warm runner can do; each
+        dispatcher counts its own only, so uneven traffic keeps the sum.
+        """
         s = self.settings
         share = s.cold_from + (1 - s.cold_from) * (self.now - runner.facts.since) / max(s.cold, 1)
         rate = SAFE * s.fall_multiple * share * self.rate * runner.part
@@ -432,13 +422,12 @@
         return (2 + self.run_latency(ratio) * ratio.total / PAR) / (2 + ratio.total)
 
     def busy(self, runner: Runner) -> float:
-        return self.pace(runner) * (1 + runner.running) / (1.1 - min(1.0, runner.load))
+        return self.pace(runner) * (1 + runner.running)
 
     def crowded(self, runner: Runner) -> bool:
         """Lanes are often more than cores: a runner that takes much longer than usual, or has far more than
         its part of our tasks out, is no home. The latter tells before any answer has."""
-        most = 2 + 2 * self.running / len(self.runners)
-        return runner.load > BUSY or self.pace(runner) > CROWDED or runner.running > most
+        return self.pace(runner) > CROWDED or runner.running > 2 + 2 * self.running / len(self.runners)
 
     def over_share(self, customer: io.Customer | None) -> bool:
         """Counts as over its share as large a part of a customer's tasks as is beyond its quota."""
@@ -523,8 +512,9 @@
     def count(self, task: io.Task) -> io.Steps:
         """A rate above Rmax runs the check at once."""
         model, s = task.model, self.settings
-        if s.ration_window:
-            self.taken.append(self.now)
+        self.taken.append(self.now)
+        if not s.ration_window and len(self.taken) > 1:
+            self.taken.popleft()
         model.tasks += 1
         model.cost += (task.cost - model.cost) / min(model.tasks, 60)
         model.last = self.now
--- a/martenlead/interface.py
+++ b/martenlead/interface.py
@@ -100,8 +100,6 @@
     late_revenue: float  # of a late answer, as a part
     fetch_price: float  # of one fetch, in the revenue of one task
     asks_roster: bool
-    probes: bool  # probes are allowed, and they alone tell a runner's load
-    probe_price: float  # of one, in the revenue of one task
     roster_every: int
     offerings: list[Offering] = field(default_factory=list)
 
@@ -185,7 +183,7 @@
 
 @dataclass(slots=True, eq=False)
 class Order:
-    """Hold that many copies."""
+    """Hold that many copies; none asks how many stand."""
 
     runner: Any
     model: Any
@@ -197,12 +195,5 @@
     """Ask for roster changes from now on."""
 
 
-@dataclass(slots=True, eq=False)
-class Probe:
-    """Ask a runner for its load, which comes to `reported`."""
-
-    runner: Any
-
-
-Action = HandOff | Wait | TurnBack | Scrap | CallOff | Order | Probe | AskRoster
+Action = HandOff | Wait | TurnBack | Scrap | CallOff | Order | AskRoster
 Steps = Generator[Action, Any, None]
--- a/tests/play.py
+++ b/tests/play.py
@@ -37,8 +37,6 @@
     fetch_price=0.04,
     memory_price=0.0,
     asks_roster=False,
-    probes=False,
-    probe_price=0.01,
     roster_every=10_000 * MS,
     offerings=[CHECK, POST, ONCE],
 )
@@ -80,8 +78,6 @@
             case io.Order(runner=runner, model=model, copies=copies):
                 self.orders.append(action)
                 self.say(f"{'hold' if copies else 'ask'} {self.names[model]} at {self.names[runner]}")
-            case io.Probe(runner=runner):
-                self.say(f"probe {self.names[runner]}")
             case io.TurnBack(task=task, wait=wait):
                 self.say(f"{self.names[task]} turned back, come again in {wait // MS}")
             case io.Scrap(task=task):
