Repeated tasks get half of a runner's width, and none of a narrowed one

Cause: in overload half of the tasks are repeats whose first try is late by now, and they took the place of fresh ones; the half of a width that tasks over a share may use was rounded up to one where dispatchers are many. It should hold against any storm of repeats; it harms a repeat that would still be in time.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -34,7 +34,7 @@
 SAFE = 0.5  # of what a cold runner stands if it does as much as the mean one: some do half, chance does more
 NEWS = 4  # answers that tell a runner's pace: where few come, they are kept for longer
 GROWTH = 0.4  # of the ration is for new copies: renewals need the rest, and the store its peace
-SPARE = 0.5  # of a runner's width is kept from tasks over their customer's share
+SPARE = 0.5  # of a runner's width is kept from repeated tasks and those over their customer's share
 PAR = SECOND // 10
 BIN = math.log(1.5)
 
@@ -389,11 +389,14 @@
         rate = SAFE * s.fall_multiple * share * self.rate * runner.part
         return int(SECOND / max(rate, 1e-3))
 
-    def room(self, runner: Runner, part: float) -> bool:
+    def room(self, runner: Runner, spare: bool) -> bool:
         if self.cold(runner) and runner.next < runner.facts.since:
             # a first task at once from each of many dispatchers would be the push that the rule forbids
             runner.next = self.now + int(self.pick() * self.cold_gap(runner))
-        return self.now >= runner.next and runner.running < max(1.0, runner.width * part)
+        width = runner.width * (SPARE if spare else 1.0)
+        if spare and width * self.settings.front_ends < LEAST_WIDTH:
+            return False
+        return self.now >= runner.next and runner.running < max(1.0, width)
 
     def place(self, task: io.Task, but: set[Runner]) -> Runner | None:
         """Where last seen warm; else the less busy of two random holders; else next in the shared order."""
@@ -440,7 +443,7 @@
         return (
             self.usable(runner)
             and (runner.credit >= 1 or not task.hand_offs)
-            and self.room(runner, SPARE if task.spare else 1.0)
+            and self.room(runner, task.spare)
             and self.may_repeat(task, runner)
         )
 
@@ -518,7 +521,8 @@
         model.tasks += 1
         model.cost += (task.cost - model.cost) / min(model.tasks, 60)
         model.last = self.now
-        task.spare = self.over_share(task.customer)
+        # the first try of a repeated task is mostly late by now; those that heed nothing repeat the most
+        task.spare = task.again or self.over_share(task.customer)
         if task.customer:
             self.served[task.customer] = self.served.get(task.customer, 0) + 1
         if self.now - model.second > SECOND:
