--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -205,7 +205,7 @@
             self.asked = (self.asked + asked) / 2 if self.asked else asked
             # one that carries far more than its part must not take itself for the mean of many
             peers = self.settings.quota / max(self.asked, 1e-9)
-            self.peers = max(1.0, peers) if 2 * peers < self.settings.front_ends else self.settings.front_ends
+            self.peers = max(1.0, peers) if 4 * peers < self.settings.front_ends else self.settings.front_ends
             for customer, tasks in self.served.items():
                 self.rates[customer] = (self.rates.get(customer, 0.0) + tasks * SECOND / span) / 2
                 self.served[customer] = 0
