Tasks over a customer's share do not swell R

Told apart: 78% of sends were one customer's, with no change of the roster. It may hold back copies where a few tasks make a share look exceeded.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -527,7 +527,7 @@
             self.served[task.customer] = self.served.get(task.customer, 0) + 1
         if self.now - model.second > SECOND:
             model.counts[0], model.second = 0, self.now
-        if not task.again:
+        if not task.spare:
             model.counts[0] += 1
             model.counts[1] += 1
         sure = model.counts[0] - 2 * math.sqrt(model.counts[0])  # above Rmax by more than chance
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -117,3 +117,14 @@
         play.served(60)
         play.say(f"a quota of {quota:.0f}: counts as one of {play.brain.peers:.0f}")
         check(play, f"peers_{quota:.0f}")
+
+
+def test_repeats_and_tasks_over_a_share_do_not_swell_the_rate() -> None:
+    customer = io.Customer(1.0)
+    play = Play()
+    play.brain.rates[customer] = 1e9
+    for n in range(4):
+        play.task(f"over{n}", customer=customer)
+    play.task("own")
+    play.say(f"counted in R: {play.models['m'].counts[1]}")
+    check(play, "not_in_rate")
