--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -34,7 +34,7 @@
 SAFE = 0.5  # of what a cold runner stands if it does as much as the mean one: some do half, chance does more
 NEWS = 4  # answers that tell a runner's pace: where few come, they are kept for longer
 GROWTH = 0.4  # of the ration is for new copies: renewals need the rest, and the store its peace
-SPARE = 0.5  # of a runner's width is kept from repeated tasks and those over their customer's share
+SPARE = 0.3  # of a runner's width is kept from repeated tasks and those over their customer's share
 PAR = SECOND // 10
 BIN = math.log(1.5)
 
