--- a/tests/play.py
+++ b/tests/play.py
@@ -92,7 +92,9 @@
             self.models[model] = self.brain.model(io.ModelFacts(ord(model), 2, 3000.0))
             self.names[self.models[model]] = model
         give_up = self.brain.now + patience * MS
-        task = io.Task(self.models[model], offering, more.get("customer"), give_up, False, 0.0)
+        task = io.Task(
+            self.models[model], offering, more.get("customer"), give_up, more.get("again", False), 0.0
+        )
         self.names[task] = name
         self.engine.take(task)
         return task
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -128,3 +128,22 @@
     play.task("own")
     play.say(f"counted in R: {play.models['m'].counts[1]}")
     check(play, "not_in_rate")
+
+
+def test_repeats_leave_a_runner_that_narrows() -> None:
+    play = Play(runners="a")
+    play.runners["a"].width = 4.0
+    play.task("repeat", again=True)
+    play.task("fresh")
+    check(play, "repeats")
+
+
+def test_of_many_dispatchers_each_has_less_than_one_task_out() -> None:
+    play = Play(runners="a", front_ends=50)
+    for ms in range(0, 800, 100):
+        play.to(ms)
+        play.task(f"t{ms}")
+        if play.hand_offs:
+            play.to(ms + 90)
+            play.answer()
+    check(play, "narrow")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -134,6 +134,42 @@
     return subprocess.run(command, input="\n".join(lines) + "\n", capture_output=True, text=True, check=False)
 
 
+def test_what_is_no_longer_held_and_what_is_not_stated() -> None:
+    profile = {
+        "allowed": {"attempts-cap": 2},
+        "balancers": 1,
+        "granularity": 0.002,
+        "classes": [{"name": "c", "on-time": 0.5, "effect": "read_like"}],
+        "rules": {"cold-from": 0.2, "cold": 9.0, "fall-multiple": 2.0},
+    }
+    hello = {"msg": "hello", "dispatcher": 0, "seed": 1, "profile-data": profile}
+    roster = {"msg": "update", "dispatcher": 0, "form": "C", "items": [{"runner": "1.1.1.1:1"}]}
+    left = [
+        {"msg": "expired", "dispatcher": 0, "ref": "0" * 16},
+        {
+            "msg": "closed-attempt",
+            "dispatcher": 0,
+            "ref": "0" * 16,
+            "reason": "served",
+            "runner": "1.1.1.1:1",
+        },
+        {"msg": "in-place", "dispatcher": 0, "runner": "1.1.1.1:1", "fn": "1" * 16, "reason": "served"},
+        {"msg": "request", "dispatcher": 7, "ref": "0" * 16},
+    ]
+    task = {
+        "msg": "request",
+        "dispatcher": 0,
+        "ref": "1" * 16,
+        "fn": "1" * 16,
+        "band": "c",
+        "give-up-at": 9.0,
+    }
+    batches = ([hello, roster], left, [task])
+    played = wire(*(json.dumps({"clock": 1.0 + n, "happened": b}) for n, b in enumerate(batches)))
+    said = [[a["msg"] for a in json.loads(line)["out"]] for line in played.stdout.splitlines()]
+    assert (said, played.returncode) == ([["remind"], [], ["issue"]], 0)
+
+
 def test_bad_lines_and_settings() -> None:
     unknown = {"clock": 1.0, "happened": [{"msg": "news", "dispatcher": 0, "what": 1}], "more": 2}
     missing = {"clock": 1.0, "happened": [{"msg": "hello", "dispatcher": 0, "seed": 1, "profile-data": {}}]}
