A hand-off is overdue at three times the model's usual slowest

Cause: where dispatchers are many a runner has seldom answered since a hand-off, so that most overdue ones went out twice and swelled the load.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -491,7 +491,7 @@
             hand_off = self.hand_off(task, runner, last)
             yield hand_off
             while hand_off.result is None and self.now <= last:  # never waits on past the give-up time
-                slow = max(task.offering.soft_limit // 2, 2 * model.latency.quantile(0.95))
+                slow = max(task.offering.soft_limit // 2, 3 * model.latency.quantile(0.95))
                 answer = yield io.Wait(min(last + s.tick, self.now + slow))
                 if answer is not None and answer.final:
                     return
