A turn-back asks to come again after half a soft limit

Cause: the longest time that clients heed lets every repeat come too late; half a soft limit is about what a queue needs to move. Where a fault lasts, clients use up their tries sooner.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -506,7 +506,8 @@
                 break
         if any(h.result is io.Result.SATISFIED for h in task.hand_offs):
             return
-        yield io.TurnBack(task, s.turn_back_wait) if self.may_turn_back(task) else io.Scrap(task)
+        wait = min(s.turn_back_wait, task.offering.soft_limit // 2)
+        yield io.TurnBack(task, wait) if self.may_turn_back(task) else io.Scrap(task)
 
     def closed(self, task: io.Task) -> list[io.Action]:
         """A task that is over leaves nothing waiting: work for clients that left is waste."""
