--- a/martenlead/benchlink/settings.py
+++ b/martenlead/benchlink/settings.py
@@ -29,7 +29,6 @@
                 effect=effects[c["effect"]],
                 group=Group(c.get("group") or "all"),
                 window=ns(c.get("dedup-window") or 0),
-                revenue=c.get("worth", 1.0),
             )
             for c in told["classes"]
         }
--- a/martenlead/interface.py
+++ b/martenlead/interface.py
@@ -66,7 +66,6 @@
     effect: Effect
     group: Group
     window: int
-    revenue: float
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/play.py
+++ b/tests/play.py
@@ -11,9 +11,9 @@
 from martenlead.engine import Engine
 
 MS = 1_000_000
-CHECK = io.Offering(500 * MS, io.Effect.IDEMPOTENT, io.Group.ALL, 0, 1.0)
-POST = io.Offering(300 * MS, io.Effect.DEDUPLICATED, io.Group.ZONE, 8000 * MS, 5.0)
-ONCE = io.Offering(300 * MS, io.Effect.UNREPEATABLE, io.Group.ALL, 0, 1.0)
+CHECK = io.Offering(500 * MS, io.Effect.IDEMPOTENT, io.Group.ALL, 0)
+POST = io.Offering(300 * MS, io.Effect.DEDUPLICATED, io.Group.ZONE, 8000 * MS)
+ONCE = io.Offering(300 * MS, io.Effect.UNREPEATABLE, io.Group.ALL, 0)
 SETTINGS = io.Settings(
     front_ends=1,
     tick=2 * MS,
