--- /dev/null
+++ b/days/plain.jsonnet
@@ -0,0 +1,2 @@
+// Nothing goes wrong.
+import 'day.libsonnet'
--- /dev/null
+++ b/martenlead/__main__.py
@@ -0,0 +1,3 @@
+from martenlead.cli.main import main
+
+main()
--- /dev/null
+++ b/martenlead/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: one file a sub-command, each only parses and calls."""
--- /dev/null
+++ b/martenlead/cli/day.py
@@ -0,0 +1,49 @@
+from __future__ import annotations
+
+import sys
+import tempfile
+from pathlib import Path
+
+import anyio
+import click
+import msgspec
+
+from martenlead.config.load import BadConfig, decode, evaluate
+from martenlead.days.report import kept, table
+from martenlead.days.run import DayFailed, run
+from martenlead.days.script import Day, plan
+
+
+@click.command()
+@click.argument("script", type=click.Path(path_type=Path))
+@click.option("--seed", type=int, help="in place of the script's")
+@click.option("--report", "report_file", type=click.Path(path_type=Path), help="take the report as JSON")
+@click.option("--keep", type=click.Path(path_type=Path), help="folder for records and logs, kept")
+def day(script: Path, seed: int | None, report_file: Path | None, keep: Path | None) -> None:
+    """Play a scripted day on loopback and audit it. Exit 0 only if every rule was kept."""
+    made = decode(evaluate(script), Day, str(script))
+    chosen = made.seed if seed is None else seed
+    try:
+        plan(made, chosen)
+    except ValueError as error:
+        raise BadConfig(f"{script}: {error}") from None
+    with tempfile.TemporaryDirectory(prefix="martenlead-day-") as temporary:
+        folder = keep or Path(temporary)
+        folder.mkdir(parents=True, exist_ok=True)
+        for old in folder.glob("*.jsonl"):
+            old.unlink()
+        shown = click.progressbar(length=int(made.seconds * 10), label=f"{made.name}, seed {chosen}")
+        with shown as bar:
+
+            def progress(at: float) -> None:
+                bar.update(int(at * 10) - bar.pos)
+
+            try:
+                told = anyio.run(run, made, chosen, folder, progress)
+            except DayFailed as error:
+                click.echo(str(error), err=True)
+                sys.exit(1)
+    click.echo(table(told))
+    if report_file:
+        report_file.write_bytes(msgspec.json.format(msgspec.json.encode(told)))
+    sys.exit(0 if kept(told) else 1)
--- /dev/null
+++ b/martenlead/cli/main.py
@@ -0,0 +1,32 @@
+"""`martenlead`: the sub-commands, and one line for what is wrong with a configuration."""
+
+from __future__ import annotations
+
+import sys
+
+import click
+
+from martenlead.cli.call import call
+from martenlead.cli.config import config
+from martenlead.cli.day import day
+from martenlead.cli.edge import edge
+from martenlead.cli.standin import standin
+from martenlead.config.load import BadConfig
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="martenlead")
+def commands() -> None:
+    """A gateway that runs tasks on runners which load models on demand."""
+
+
+for command in (edge, day, config, standin, call):
+    commands.add_command(command)
+
+
+def main() -> None:
+    try:
+        commands()
+    except BadConfig as error:
+        click.echo(str(error), err=True)
+        sys.exit(2)
--- /dev/null
+++ b/martenlead/cli/standin.py
@@ -0,0 +1,27 @@
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import anyio
+import click
+
+from martenlead.config.load import load
+from martenlead.standins import client, roster, runner, settings, vault
+
+KINDS: dict[str, tuple[type[Any], Callable[[Any], Awaitable[None]]]] = {
+    "runner": (settings.Host, runner.run),
+    "roster": (settings.RosterPart, roster.run),
+    "vault": (settings.VaultPart, vault.run),
+    "client": (settings.Clients, client.run),
+}
+
+
+@click.command()
+@click.argument("kind", type=click.Choice(list(KINDS)))
+@click.argument("config", type=click.Path(path_type=Path))
+def standin(kind: str, config: Path) -> None:
+    """Run one stand-in by itself."""
+    kinds, play = KINDS[kind]
+    anyio.run(play, load(config, kinds))
--- /dev/null
+++ b/martenlead/config/edge.py
@@ -0,0 +1,200 @@
+"""The settings of the edge program. Times are ms, as their names say; they become ns where they are read."""
+
+from __future__ import annotations
+
+import math
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+from martenlead.config.load import BadConfig, decode, evaluate
+from martenlead.interface import Customer, Effect, Group, Offering, Settings
+
+Share = Annotated[float, Meta(ge=0, le=1)]
+Positive = Annotated[float, Meta(gt=0)]
+NotNegative = Annotated[float, Meta(ge=0)]
+Count = Annotated[int, Meta(ge=1)]
+Port = Annotated[int, Meta(ge=0, le=65535)]
+Name = Annotated[str, Meta(min_length=1, max_length=200)]
+
+
+class Part(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """A group of settings; unknown names are refused."""
+
+
+class Address(Part, frozen=True, kw_only=True):
+    host: Name = "127.0.0.1"
+    port: Port = 0
+
+
+class Roster(Part, frozen=True, kw_only=True):
+    host: Name = "127.0.0.1"
+    port: Annotated[int, Meta(ge=1, le=65535)]
+    kept: str | None = None  # file that the last list is kept in
+    quiet_ms: Positive = 3000  # without a line for so long the stream is taken to be dead
+    retry_ms: Positive = 100  # first wait before it is asked again; doubled up to twenty times that
+
+
+class OfferingPart(Part, frozen=True, kw_only=True):
+    name: Name
+    soft_limit_ms: Positive
+    hard_limit_ms: Positive
+    effect: Literal["idempotent", "deduplicated", "unrepeatable"]
+    group: Literal["all", "zone", "cell"] = "all"
+    window_ms: NotNegative = 0
+    revenue: NotNegative = 1
+    late_revenue: Share = 0
+
+
+class CustomerPart(Part, frozen=True, kw_only=True):
+    name: Name
+    quota_per_s: Positive
+
+
+class Allowed(Part, frozen=True, kw_only=True):
+    hand_offs: Annotated[int, Meta(ge=1, le=16)] = 3
+    twice_out: bool = False
+    call_off: bool = True
+    turn_back_wait_ms: NotNegative = 500
+
+
+class Probes(Part, frozen=True, kw_only=True):
+    every_ms: Positive = 1000
+
+
+class Ration(Part, frozen=True, kw_only=True):
+    window_ms: Positive
+    free: NotNegative
+    share: NotNegative
+
+
+class Models(Part, frozen=True, kw_only=True):
+    orders: bool = True
+    tells_warm: bool = True
+    loads_on_miss: bool = True
+    keep_ms: Positive = 10_000
+    order_limit_ms: Positive = 10_000
+    ration: Ration | None = None
+    memory_price: NotNegative = 0
+    fetch_price: NotNegative = 0
+
+
+class Cold(Part, frozen=True, kw_only=True):
+    share: Annotated[float, Meta(gt=0, le=1)] = 0.2
+    time_ms: Positive = 15_000
+    fall_multiple: Positive = 2.5
+    fall_ms: Positive = 2000
+    drain_grace_ms: NotNegative = 250
+
+
+class LimitsPart(Part, frozen=True, kw_only=True):
+    open_tasks: Count = 4000  # beyond: 503, and nothing was begun
+    connections: Count = 4096  # of clients; beyond: 503 and closed
+    pipelined: Count = 32
+    runner_connections: Count = 256  # to one runner; beyond: the hand-off is not sent
+    head_bytes: Count = 16_384
+    body_bytes: Count = 1_048_576
+    held_bytes: Count = 268_435_456  # of all bodies held; beyond: 503
+    known_models: Count = 100_000  # beyond: 503 for a model never seen
+    idle_ms: Positive = 60_000
+    slow_ms: Positive = 10_000
+    connect_ms: Positive = 250
+    drain_ms: Positive = 30_000  # SIGTERM: the longest that held tasks are waited for
+
+
+class Log(Part, frozen=True, kw_only=True):
+    level: Literal["debug", "info", "warning", "error"] = "info"
+    decisions: bool = False  # a line a decision
+
+
+class Edge(Part, frozen=True, kw_only=True):
+    """The settings of one edge process, which is one dispatcher."""
+
+    name: Name = "edge"
+    listen: Address = Address()
+    admin: Address | None = None  # GET /metrics, GET /state
+    roster: Roster
+    dispatchers: Count = 1
+    number: Annotated[int, Meta(ge=0)] = 0
+    seed: int | None = None
+    tick_ms: Annotated[float, Meta(ge=0.5, le=100)] = 2  # the least; grows with what the event loop achieves
+    offerings: Annotated[list[OfferingPart], Meta(min_length=1)]
+    customers: list[CustomerPart] = []
+    over_share: Share = 1  # revenue of a task over its customer's share, as a part
+    allowed: Allowed = Allowed()
+    probes: Probes | None = None
+    models: Models = Models()
+    cold: Cold = Cold()
+    limits: LimitsPart = LimitsPart()
+    log: Log = Log()
+    uvloop: bool = True
+
+
+def read(path: Path) -> Edge:
+    """The edge's settings from a Jsonnet file. Raises `BadConfig`."""
+    return check(decode(evaluate(path), Edge, str(path)), str(path))
+
+
+def check(edge: Edge, source: str) -> Edge:
+    """What a schema cannot say. Raises `BadConfig`."""
+    lists = {"offerings": [o.name for o in edge.offerings], "customers": [c.name for c in edge.customers]}
+    for kind, names in lists.items():
+        for at, name in enumerate(names):
+            if name in names[:at]:
+                raise BadConfig(f"{source}: $.{kind}[{at}].name: {name!r} stands there twice")
+    for at, offering in enumerate(edge.offerings):
+        where = f"{source}: $.offerings[{at}]"
+        if offering.hard_limit_ms < offering.soft_limit_ms:
+            raise BadConfig(f"{where}.hard_limit_ms: at least soft_limit_ms was expected")
+        if offering.effect == "deduplicated" and not offering.window_ms:
+            raise BadConfig(
+                f"{where}.window_ms: a deduplicated offering needs the time that repeats are dropped for"
+            )
+    return edge
+
+
+def ns(ms: float) -> int:
+    return round(ms * 1e6)
+
+
+def settings(edge: Edge) -> tuple[Settings, dict[str, Offering], dict[str, Customer]]:
+    """The module's settings, and the objects that offerings' and customers' names stand for."""
+    offerings = {
+        o.name: Offering(ns(o.soft_limit_ms), Effect(o.effect), Group(o.group), ns(o.window_ms))
+        for o in edge.offerings
+    }
+    customers = {c.name: Customer(c.quota_per_s) for c in edge.customers}
+    allowed, models, cold = edge.allowed, edge.models, edge.cold
+    ration = models.ration
+    return (
+        Settings(
+            front_ends=edge.dispatchers,
+            tick=ns(edge.tick_ms),
+            hand_offs=allowed.hand_offs,
+            twice_out=allowed.twice_out,
+            call_off=allowed.call_off,
+            orders=models.orders,
+            tells_warm=models.tells_warm,
+            loads_on_miss=models.loads_on_miss,
+            turn_back_wait=ns(allowed.turn_back_wait_ms),
+            keep=ns(models.keep_ms),
+            ration_window=ns(ration.window_ms) if ration else 0,
+            ration_free=ration.free if ration else 0,
+            ration_share=ration.share if ration else 0,
+            cold_from=cold.share,
+            cold=ns(cold.time_ms),
+            fall_multiple=cold.fall_multiple,
+            over_share=edge.over_share,
+            quota=sum(c.quota for c in customers.values()) or math.inf,
+            memory_price=models.memory_price,
+            late_revenue=min(o.late_revenue for o in edge.offerings),
+            fetch_price=models.fetch_price,
+            asks_roster=False,
+            roster_every=ns(10_000),
+            offerings=list(offerings.values()),
+        ),
+        offerings,
+        customers,
+    )
--- /dev/null
+++ b/martenlead/config/templates/day.libsonnet
@@ -0,0 +1,46 @@
+// A plain day: two edges, eight runners in two zones, three offerings of the three kinds, nothing that goes wrong.
+{
+  name: 'plain',
+  seconds: 12,
+  seed: 1,
+  edges: 2,
+  runners: { count: 8, zones: ['north', 'south'], kinds: [{ cores: 4, speed: 1 }, { cores: 3, speed: 0.8 }] },
+  clients: { rate_per_s: 90 },
+  quota_per_s: 130,
+  customers: [{ name: 'portal', share: 0.6 }, { name: 'desk', share: 0.4 }],
+  offerings: [
+    { name: 'estimate', share: 0.6, soft_limit_ms: 800, hard_limit_ms: 4000, work_ms: 90, load_ms: 700, late_revenue: 0.3 },
+    {
+      name: 'post',
+      share: 0.3,
+      soft_limit_ms: 500,
+      hard_limit_ms: 4000,
+      effect: 'deduplicated',
+      group: 'zone',
+      window_ms: 6000,
+      revenue: 3,
+      work_ms: 50,
+      load_ms: 700,
+      models: 10,
+    },
+    {
+      name: 'notice',
+      share: 0.1,
+      soft_limit_ms: 800,
+      hard_limit_ms: 3000,
+      effect: 'unrepeatable',
+      revenue: 2,
+      work_ms: 40,
+      load_ms: 600,
+      models: 6,
+    },
+  ],
+  edge: {
+    over_share: 0.3,
+    allowed: { hand_offs: 3, twice_out: false },
+    models: { keep_ms: 8000, tells_warm: true, ration: { window_ms: 5000, free: 4, share: 0.3 } },
+  },
+  troubles: [],
+  // a trouble with its usual strength, at that second
+  trouble(kind, at_s, for_s=3):: { kind: kind, at_s: at_s, for_s: for_s },
+}
--- /dev/null
+++ b/martenlead/days/report.py
@@ -0,0 +1,100 @@
+"""What a day was, from the records: counts, service, latency, and the verdict on each rule."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+from martenlead.days.audit import MS, Audit, Record, closest
+
+ENDS = {"satisfied": "satisfied", "turned back": "turned_back", "scrapped": "scrapped"}
+
+
+def quantile(values: list[float], share: float) -> float | None:
+    if not values:
+        return None
+    return sorted(values)[min(len(values) - 1, int(share * len(values)))]
+
+
+def report(audit: Audit, offerings: dict[str, dict[str, Any]], exits: list[int]) -> dict[str, Any]:
+    """The report of `martenlead day`; docs/days.md says what stands in it."""
+    sent, ends = audit.sent, audit.ends
+    firsts = {r["id"]: r for r in sent.values() if r["first"]}
+    last: dict[str, Record] = {}
+    latency: list[float] = []
+    asked = earned = with_late = 0.0
+    best: dict[str, float] = {}
+    for name, record in sent.items():
+        end = ends.get(name)
+        if end is None:
+            continue
+        last[record["id"]] = end
+        if end["what"] == "answer" and end["final"] == "satisfied":
+            latency.append((end["t"] - record["t"]) / MS)
+            best[record["id"]] = (end["t"] - firsts[record["id"]]["t"]) / MS
+    for name, first in firsts.items():
+        offering = offerings[first["offering"]]
+        asked += offering["revenue"]
+        took = best.get(name)
+        if took is not None:
+            inside = took <= offering["soft_limit_ms"]
+            earned += offering["revenue"] * inside
+            with_late += offering["revenue"] * (1 if inside else offering["late_revenue"])
+    answers = Counter({"satisfied": 0, "turned_back": 0, "scrapped": 0, "never_got": 0})
+    for end in last.values():
+        final = ENDS.get(end.get("final", ""), "never_got") if end["what"] == "answer" else "never_got"
+        answers[final] += 1
+    verdicts = audit.verdicts()
+    whats = Counter(r["what"] for r in audit.runners)
+    return {
+        "tasks": len(firsts),
+        "tries": len(sent),
+        "answers": dict(answers),
+        "missed": dict(Counter(end["what"] for end in last.values() if end["what"] != "answer")),
+        "service": round(earned / asked, 4) if asked else None,
+        "service_with_late": round(with_late / asked, 4) if asked else None,
+        "latency_ms": {
+            f"p{share * 100:g}": quantile(latency, share) for share in (0.5, 0.9, 0.99, 0.999, 1.0)
+        },
+        "closest_answer_ms": closest(audit.clients),
+        "handoffs": whats["came"],
+        "ran": whats["ran"],
+        "refused": dict(Counter(r["why"] for r in audit.runners if r["what"] == "refused")),
+        "orders": sum(1 for r in audit.runners if r["what"] == "order" and r["copies"]),
+        "loads": whats["load"],
+        "edges_exit": exits,
+        "rules": {
+            name: {"checked": v.checked, "breaches": len(v.breaches), "records": v.breaches[:20]}
+            for name, v in verdicts.items()
+        },
+    }
+
+
+def kept(told: dict[str, Any]) -> bool:
+    """Whether every rule was kept, something was asked of each edge, and each ended in good order."""
+    return all(not rule["breaches"] for rule in told["rules"].values()) and not any(told["edges_exit"])
+
+
+def table(told: dict[str, Any]) -> str:
+    """The report for people."""
+
+    def ms(value: float | None) -> str:
+        return "-" if value is None else f"{value:.1f}"
+
+    lines = [
+        f"tasks {told['tasks']}, tries {told['tries']}: "
+        + ", ".join(f"{name.replace('_', ' ')} {n}" for name, n in told["answers"].items()),
+        f"service {told['service']}, with late answers {told['service_with_late']}",
+        "latency ms: " + ", ".join(f"{name} {ms(value)}" for name, value in told["latency_ms"].items()),
+        f"hand-offs {told['handoffs']}, orders {told['orders']}, loads {told['loads']}, "
+        f"closest answer {ms(told['closest_answer_ms'])} ms before its client gave up",
+        "",
+        f"{'rule':<16} {'checked':>8} {'breaches':>9}",
+    ]
+    for name, rule in told["rules"].items():
+        lines.append(f"{name:<16} {rule['checked']:>8} {rule['breaches']:>9}")
+    for name, rule in told["rules"].items():
+        lines += [f"  {name}: {b['why']}: {b['records']}" for b in rule["records"][:3]]
+    if any(told["edges_exit"]):
+        lines.append(f"edges ended with {told['edges_exit']}")
+    return "\n".join(lines)
--- /dev/null
+++ b/martenlead/edge/dispatcher.py
@@ -0,0 +1,510 @@
+"""Tells the module what happens and carries out what it decides. It decides nothing itself.
+
+A task's way: `take` makes it known to the module, whose generator asks for hand-offs through `_outlet`; each
+runs as a task of the one group (`_carry`); its end goes back as an `Answer`; the final answer is set on
+`Held` and leaves by the door.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from collections.abc import Callable
+from enum import Enum
+from pathlib import Path
+from random import Random
+from time import monotonic_ns
+from typing import Any
+
+import anyio
+import msgspec
+import structlog
+from anyio.abc import TaskGroup
+
+from martenlead.config.edge import Edge, ns, settings
+from martenlead.edge.border import Border
+from martenlead.edge.protocol import Wanted
+from martenlead.events import cloudevent, http
+from martenlead.events.client import Exchange, Pool, Sending, lines
+from martenlead.interface import (
+    Action,
+    Answer,
+    AskRoster,
+    CallOff,
+    HandOff,
+    ModelFacts,
+    Order,
+    Result,
+    RunnerFacts,
+    Scrap,
+    State,
+    Task,
+    TurnBack,
+    Wait,
+)
+from martenlead.runnerlink import orders, outcomes, roster
+
+RELAYED_ANEW = frozenset({b"ce-timeleftms", b"ce-handoff"})
+STATES = {"up": State.UP, "draining": State.DRAINING, "gone": State.GONE}
+
+
+class Final(Enum):
+    """The names of the final answers, and of tasks whose client left before there was one."""
+
+    SATISFIED = "satisfied"
+    TURNED_BACK = "turned back"
+    SCRAPPED = "scrapped"
+    LEFT = "left"
+
+
+class Held:
+    """A task at the door: what came, and its final answer once there is one."""
+
+    __slots__ = ("answer", "arrived", "body", "done", "final", "headers", "task", "wait", "wanted", "why")
+
+    def __init__(self, wanted: Wanted, arrived: int) -> None:
+        self.wanted = wanted
+        self.arrived = arrived
+        self.task: Task | None = None
+        self.final: Final | None = None
+        self.answer: http.Message | None = None
+        self.wait = 0
+        self.why = ""
+        self.done = anyio.Event()
+        self.headers, self.body = cloudevent.write(wanted.event)
+
+    def end(self, final: Final) -> None:
+        if self.final is None:
+            self.final = final
+            self.done.set()
+
+
+class Box:
+    """A runner as this process knows it: the module's object, its line in the roster, its connections."""
+
+    def __init__(self, line: roster.Line, pool: Pool) -> None:
+        self.line, self.pool = line, pool
+        self.runner: Any = None
+        self.host = f"{line.host}:{line.port}".encode()
+        self.since = 0
+        self.drains = ""  # the life that said so itself
+        self.reported: dict[str, float] = {}
+
+    def facts(self, state: State, since: int, weight: float) -> RunnerFacts:
+        line = self.line
+        mark = int.from_bytes(line.id.encode(), "big")
+        return RunnerFacts(mark, line.zone, line.cell, line.memory_mb or 1.0, weight, state, since)
+
+
+class Known:
+    """A model: the module's object and its name."""
+
+    __slots__ = ("lanes", "memory_mb", "model", "name")
+
+    def __init__(self, name: str, model: Any, lanes: int, memory_mb: float) -> None:
+        self.name, self.model, self.lanes, self.memory_mb = name, model, lanes, memory_mb
+
+
+class Dispatcher:
+    """One `Engine` and the sockets around it. `run` holds its task group; all else is called inside it."""
+
+    def __init__(self, edge: Edge, clock: Callable[[], int] = monotonic_ns) -> None:
+        self.edge, self.clock = edge, clock
+        told, self.offerings, self.customers = settings(edge)
+        self.hard = {o.name: ns(o.hard_limit_ms) for o in edge.offerings}
+        self.tick = told.tick
+        seed = edge.seed if edge.seed is not None else int.from_bytes(Random().randbytes(8), "big")
+        self.border = Border(told, seed, clock, self._outlet)
+        self.chance = Random(seed)
+        self.log = structlog.get_logger().bind(edge=edge.name)
+        self.agent = f"martenlead/{edge.name}".encode()
+        self.boxes: dict[str, Box] = {}
+        self.by_runner: dict[Any, Box] = {}
+        self.models: dict[str, Known] = {}
+        self.by_model: dict[Any, Known] = {}
+        self.held: dict[Task, Held] = {}
+        self.bytes = 0
+        self.list = roster.List()
+        self.counts: Counter[tuple[str, str]] = Counter()
+        self.closest: int | None = None  # least time left at a final answer, ns
+        self.worst_lag = 0
+        self.group: TaskGroup | None = None
+        self._scopes: dict[HandOff, anyio.CancelScope] = {}
+        self._called_off: set[HandOff] = set()
+        self._sooner = anyio.Event()
+        self._until = 0
+        self.emptied = anyio.Event()
+        self.listed = anyio.Event()
+
+    # -- life
+
+    async def run(self, ready: Callable[[], None] | None = None) -> None:
+        """Until cancelled. Starts with the list kept on disk, if there is one."""
+        async with anyio.create_task_group() as group:
+            self.group = group
+            path = self.edge.roster.kept
+            found = roster.kept(Path(path)) if path else None
+            if found is not None:
+                self.list.version = 0  # whatever was missed since is asked for whole
+                self.list.lines = {line.id: line for line in found.runners}
+                self._news(list(self.list.lines.values()), True)
+                self.log.info("starts with the kept list", runners=len(found.runners))
+            self.border.begin()
+            group.start_soon(self._timers)
+            group.start_soon(self._pulse)
+            group.start_soon(self._watch_roster)
+            if self.edge.probes:
+                group.start_soon(self._probe_all, ns(self.edge.probes.every_ms))
+            if ready:
+                ready()
+
+    async def _timers(self) -> None:
+        while True:
+            due = self.border.due()
+            self._until = due if due is not None else 1 << 62
+            left = (self._until - self.clock()) / 1e9
+            if left > 0:
+                with anyio.move_on_after(min(left, 3600)):
+                    await self._sooner.wait()
+            if self._sooner.is_set():
+                self._sooner = anyio.Event()
+            self.border.advance()
+            await anyio.sleep(0)
+
+    def _rearm(self) -> None:
+        due = self.border.due()
+        if due is not None and due < self._until:
+            self._until = due
+            self._sooner.set()
+
+    async def _pulse(self) -> None:
+        """The tick is what the event loop achieves: the worst of the last second, halved as it fades."""
+        least, worst, every = self.tick, 0, 5_000_000
+        count = 0
+        while True:
+            before = self.clock()
+            await anyio.sleep(every / 1e9)
+            lag = self.clock() - before - every
+            worst = max(worst, lag)
+            self.worst_lag = max(self.worst_lag, lag)
+            count += 1
+            if lag > self.tick or count >= 100:
+                self.tick = min(max(least, worst), 100_000_000)
+                self.border.tick(self.tick)
+                if count >= 100:
+                    worst, count = worst // 2, 0
+
+    # -- the roster
+
+    async def _watch_roster(self) -> None:
+        link = self.edge.roster
+        host = f"{link.host}:{link.port}".encode()
+        wait = link.retry_ms / 1000
+        while True:
+            after = self.list.version
+            ask = http.request(b"GET", b"/roster?after=%d" % after, host, [(b"user-agent", self.agent)])
+            try:
+                async for line in lines(
+                    link.host, link.port, ask, quiet=link.quiet_ms / 1000, longest=16 * 1024 * 1024
+                ):
+                    news = roster.decode(line)
+                    if self.list.told(news):
+                        self._news(news.runners or [], news.whole)
+                        self._keep()
+                    wait = link.retry_ms / 1000
+                why = "the stream ended"
+            except roster.Gap as gap:
+                why = str(gap)
+                self.list.version = 0
+            except (OSError, TimeoutError, anyio.EndOfStream, anyio.BrokenResourceError) as error:
+                why = f"{type(error).__name__} {error}".strip()
+            except (http.BadMessage, msgspec.DecodeError) as error:
+                why = str(error)
+                self.list.version = 0
+            self.counts["roster", "lost"] += 1
+            self.log.warning("no roster; the last list stands", why=why, runners=len(self.list.lines))
+            await anyio.sleep(wait * (0.5 + self.chance.random()))
+            wait = min(2 * wait, link.retry_ms / 50)
+
+    def _keep(self) -> None:
+        if not self.edge.roster.kept:
+            return
+        now = self.clock()
+        kept = []
+        for line in self.list.lines.values():
+            box = self.boxes[line.id]
+            age = (now - box.since) / 1e6 if box.since else None
+            kept.append(msgspec.structs.replace(line, age_ms=age))
+        try:
+            roster.keep(Path(self.edge.roster.kept), roster.Kept(self.list.version, time.time(), kept))
+        except OSError as error:
+            self.log.warning("the list could not be kept", why=str(error))
+
+    def _news(self, told: list[roster.Line], whole: bool) -> None:
+        news = []
+        now = self.clock()
+        for line in told:
+            box = self.boxes.get(line.id)
+            if box is None or (
+                line.state != "gone" and (line.host, line.port) != (box.line.host, box.line.port)
+            ):
+                if line.state == "gone":
+                    continue
+                limits = self.edge.limits
+                pool = Pool(
+                    line.host,
+                    line.port,
+                    most=limits.runner_connections,
+                    connect=ns(limits.connect_ms),
+                    limits=http.Limits(limits.head_bytes, limits.body_bytes),
+                )
+                if box is None:
+                    box = self.boxes[line.id] = Box(line, pool)
+                else:
+                    box.pool, box.host = pool, f"{line.host}:{line.port}".encode()
+                    box.line = msgspec.structs.replace(line, start=box.line.start)
+            if not box.runner or line.start != box.line.start:
+                age = line.age_ms
+                box.since = 0 if age is None else max(1, now - ns(age))
+            if line.state != "gone":
+                box.line = line
+            state = STATES[line.state]
+            if state is State.UP and box.drains and box.drains == line.start:
+                state = State.DRAINING  # its own word is newer than the roster's until it has started anew
+            facts = box.facts(state, box.since, line.weight or line.memory_mb or 1.0)
+            if box.runner is None:
+                box.runner = self.border.runner(facts)
+                self.by_runner[box.runner] = box
+            news.append((box.runner, facts))
+            self.log.info("roster", runner=line.id, state=state.value, version=self.list.version)
+        self.border.roster(news, whole)
+        self._rearm()
+        if whole:
+            self.listed.set()
+
+    def _drains(self, box: Box) -> None:
+        """A runner's own word that it drains counts as word, ahead of the roster."""
+        if box.drains == box.line.start and box.drains:
+            return
+        box.drains = box.line.start
+        facts = box.facts(State.DRAINING, box.since, box.line.weight or box.line.memory_mb or 1.0)
+        if box.line.id in self.list.lines:
+            self.border.roster([(box.runner, facts)], False)
+            self.log.info("drains by its own word", runner=box.line.id)
+
+    # -- tasks
+
+    def take(self, wanted: Wanted, arrived: int) -> Held:
+        """Makes a task known to the module. The door has checked the names and the limits."""
+        held = Held(wanted, arrived)
+        known = self.models.get(wanted.model)
+        if known is None:
+            mark = int.from_bytes(wanted.model.encode()[:64], "big")
+            model = self.border.model(ModelFacts(mark, wanted.lanes, wanted.memory_mb))
+            known = self.models[wanted.model] = Known(wanted.model, model, wanted.lanes, wanted.memory_mb)
+            self.by_model[model] = known
+        limit = self.hard[wanted.offering]
+        left = limit if wanted.left is None else min(wanted.left, limit)
+        self.bytes += len(held.body)
+
+        def note(task: Task) -> None:
+            held.task = task
+            self.held[task] = held
+
+        customer = self.customers.get(wanted.customer or "")
+        self.border.take(
+            known.model,
+            self.offerings[wanted.offering],
+            customer,
+            arrived + left,
+            wanted.again,
+            wanted.cost,
+            note,
+        )
+        self._rearm()
+        return held
+
+    def left(self, held: Held) -> None:
+        """The client has gone: what is out is called off."""
+        held.end(Final.LEFT)
+        self.over(held)
+
+    def hasten(self) -> None:
+        """Every held task gets its answer now."""
+        for held in list(self.held.values()):
+            if held.task is not None and held.final is None:
+                back = self.border.may_turn_back(held.task)
+                held.why = "the dispatcher stops"
+                held.end(Final.TURNED_BACK if back else Final.SCRAPPED)
+
+    def over(self, held: Held) -> None:
+        """The final answer is on its way, or nobody waits for it: what is still out is called off.
+
+        Not from within `_outlet`: the module's generator is running there.
+        """
+        task = held.task
+        if task is None or self.held.pop(task, None) is None:
+            return
+        self.bytes -= len(held.body)
+        if held.final is not None:
+            self.counts["final", held.final.value] += 1
+            if held.final is not Final.LEFT:
+                left = task.give_up - self.clock()
+                self.closest = left if self.closest is None else min(self.closest, left)
+        self.border.closed(task)
+        if not self.held:
+            self.emptied.set()
+
+    def _outlet(self, action: Action) -> None:
+        """Carries out one decision. Nothing here calls the module back: it is in the middle of deciding."""
+        match action:
+            case HandOff(task=task, runner=runner):
+                held, box, scope = self.held[task], self.by_runner[runner], anyio.CancelScope()
+                self._scopes[action] = scope
+                self._soon(self._carry, held, action, box, scope)
+            case TurnBack(task=task, wait=wait):
+                held = self.held[task]
+                held.wait = wait
+                held.end(Final.TURNED_BACK)
+            case Scrap(task=task):
+                self.held[task].end(Final.SCRAPPED)
+            case CallOff(hand_off=hand_off):
+                found = self._scopes.get(hand_off)
+                if found is not None:
+                    self._called_off.add(hand_off)
+                    found.cancel()
+            case Order():
+                self._soon(self._order, action)
+            case AskRoster() | Wait():
+                pass  # the roster is pushed; the engine keeps the waits
+        if self.edge.log.decisions:
+            self._tell(action)
+
+    def _soon(self, work: Callable[..., Any], *args: Any) -> None:
+        assert self.group is not None
+        self.group.start_soon(work, *args)
+
+    def _tell(self, action: Action) -> None:
+        about: dict[str, Any] = {"what": type(action).__name__}
+        runner = getattr(action, "runner", None)
+        if runner is not None:
+            about["runner"] = self.by_runner[runner].line.id
+        hand_off = getattr(action, "hand_off", None)
+        task = getattr(action, "task", None) or (hand_off.task if hand_off else None)
+        if task in self.held:
+            about["task"] = self.held[task].wanted.event.text("id")
+        if isinstance(action, Order):
+            about |= {"model": self.by_model[action.model].name, "copies": action.copies}
+        self.log.info("decides", **about)
+
+    # -- hand-offs, orders, probes
+
+    async def _carry(self, held: Held, hand_off: HandOff, box: Box, scope: anyio.CancelScope) -> None:
+        """One hand-off from its decision to its `Answer`. Whatever happens on the socket, there is exactly
+        one."""
+        number = hand_off.task.hand_offs.index(hand_off)
+        sending = Sending()
+        exchange: Exchange | None = None
+        left = hand_off.sent + hand_off.patience - self.clock()
+        if left <= 0:
+            told = outcomes.Heard(Result.NOT_SENT, why="the time was over before it was sent")
+        else:
+            scope.deadline = anyio.current_time() + left / 1e9
+            with scope:
+                exchange = await box.pool.exchange(self._request(held, hand_off, number, box, left), sending)
+            if exchange is not None:
+                told = outcomes.heard(exchange)
+            else:
+                told = outcomes.without_answer(called_off=hand_off in self._called_off, wrote=sending.wrote)
+        self._scopes.pop(hand_off, None)
+        self._called_off.discard(hand_off)
+        if told.drains:
+            self._drains(box)
+        if exchange and exchange.message:
+            box.reported.update(orders.report(exchange.message.header(outcomes.REPORT)))
+        self.counts["hand-off", told.result.value] += 1
+        if held.final is None:
+            held.why = told.why
+        first = told.result is Result.SATISFIED and held.final is None
+        final = first or held.final is not None
+        if first:
+            held.answer = told.message
+            held.end(Final.SATISFIED)
+        lag = max(0, self.clock() - hand_off.sent)
+        self.border.answered(Answer(hand_off, told.result, final, told.warmth, lag))
+        self._rearm()
+        if self.edge.log.decisions:
+            self.log.info(
+                "hears",
+                task=held.wanted.event.text("id"),
+                runner=box.line.id,
+                result=told.result.value,
+                why=told.why,
+            )
+
+    def _request(self, held: Held, hand_off: HandOff, number: int, box: Box, left: int) -> bytes:
+        headers = [pair for pair in held.headers if pair[0] not in RELAYED_ANEW]
+        headers += [
+            (b"ce-timeleftms", b"%d" % (left // 1_000_000)),
+            (b"ce-handoff", b"%d" % number),
+            (b"user-agent", self.agent),
+        ]
+        return http.request(b"POST", b"/", box.host, headers, held.body)
+
+    async def _order(self, order: Order) -> None:
+        box, known = self.by_runner[order.runner], self.by_model[order.model]
+        data = orders.load(box.host, self.agent, known.name, order.copies, known.memory_mb, known.lanes)
+        result, copies, why = Result.SILENT, 0, "no answer"
+        with anyio.move_on_after(self.edge.models.order_limit_ms / 1000):
+            exchange = await box.pool.exchange(data)
+            result, why = outcomes.ordered(exchange)
+            copies = orders.standing(exchange)
+            if exchange.message and exchange.message.header(outcomes.STATE) == b"draining":
+                self._drains(box)
+        self.counts["order", result.value] += 1
+        self.border.ordered(order, result, copies)
+        self._rearm()
+        if self.edge.log.decisions:
+            self.log.info("order ends", runner=box.line.id, model=known.name, result=result.value, why=why)
+
+    async def _probe_all(self, every: int) -> None:
+        while True:
+            for box in list(self.boxes.values()):
+                if box.line.id in self.list.lines and box.line.state == "up":
+                    self._soon(self._probe, box, every)
+            await anyio.sleep(every / 1e9)
+
+    async def _probe(self, box: Box, within: int) -> None:
+        with anyio.move_on_after(within / 1e9):
+            exchange = await box.pool.exchange(orders.probe(box.host, self.agent))
+            if exchange.message:
+                box.reported.update(orders.report(exchange.message.header(outcomes.REPORT)))
+                if exchange.message.header(outcomes.STATE) == b"draining":
+                    self._drains(box)
+
+    # -- what operators see
+
+    def state(self) -> dict[str, Any]:
+        now = self.clock()
+        return {
+            "edge": self.edge.name,
+            "roster": {"version": self.list.version, "runners": len(self.list.lines)},
+            "held": len(self.held),
+            "held_bytes": self.bytes,
+            "models": len(self.models),
+            "tick_ms": self.tick / 1e6,
+            "worst_lag_ms": self.worst_lag / 1e6,
+            "closest_answer_ms": None if self.closest is None else self.closest / 1e6,
+            "counts": {f"{kind}/{name}": n for (kind, name), n in sorted(self.counts.items())},
+            "runners": [
+                {
+                    "id": box.line.id,
+                    "state": box.runner.facts.state.value,
+                    "age_ms": (now - box.since) / 1e6 if box.since else None,
+                    "connections": box.pool.open,
+                    "opened": box.pool.opened,
+                    "report": box.reported,
+                }
+                for box in self.boxes.values()
+            ],
+        }
--- /dev/null
+++ b/martenlead/edge/door.py
@@ -0,0 +1,161 @@
+"""The door: one request in, one final answer out. Reads the event, holds the limits, writes the answer."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import structlog
+
+from martenlead.config.edge import Edge, ns
+from martenlead.edge.dispatcher import Dispatcher, Final, Held
+from martenlead.edge.protocol import wanted
+from martenlead.events import cloudevent
+from martenlead.events.cloudevent import BadEvent
+from martenlead.events.http import Headers, Limits, Message
+from martenlead.events.problem import problem
+from martenlead.events.server import Reply, Server, ServerLimits
+from martenlead.interface import Result
+
+PASSED_ON = frozenset({b"content-type", b"traceparent", b"tracestate"})
+TITLES = {400: "Bad task", 404: "No such path", 405: "Only POST", 413: "Too large", 415: "Not an event"}
+
+
+class Door:
+    def __init__(self, dispatcher: Dispatcher, edge: Edge) -> None:
+        self.dispatcher, self.edge = dispatcher, edge
+        self.wait = ns(edge.allowed.turn_back_wait_ms)
+        self.log = structlog.get_logger().bind(edge=edge.name)
+        limits = edge.limits
+        self.server = Server(
+            self.handle,
+            ServerLimits(
+                Limits(limits.head_bytes, limits.body_bytes),
+                limits.connections,
+                limits.pipelined,
+                ns(limits.idle_ms),
+                ns(limits.slow_ms),
+            ),
+            bad=bad,
+            crashed=self.crashed,
+        )
+
+    async def handle(self, message: Message, now: int) -> Reply:
+        """Cancelled when the client has left: its task is over then."""
+        dispatcher = self.dispatcher
+        if message.target.split(b"?")[0] != b"/":
+            return problem(404, "No such path", "tasks are posted to /")
+        if message.method != b"POST":
+            reply = problem(405, "Only POST", "tasks are posted to /")
+            reply.headers.append((b"allow", b"POST"))
+            return reply
+        try:
+            event = cloudevent.read(message.headers, message.body)
+            asked = wanted(event)
+            if asked.offering not in dispatcher.offerings:
+                raise BadEvent("type", "no such offering")
+            if dispatcher.customers and asked.customer not in dispatcher.customers:
+                raise BadEvent(
+                    "customer", "no such customer" if asked.customer else "the attribute is missing"
+                )
+        except BadEvent as error:
+            dispatcher.counts["refused", error.attribute] += 1
+            reply = problem(error.status, TITLES[error.status], str(error), attribute=error.attribute)
+            if error.status == 415:
+                reply.headers.append((b"accept", cloudevent.ACCEPTED))
+            return reply
+        full = self._full(asked.model, len(message.body))
+        if full:
+            dispatcher.counts["final", Final.TURNED_BACK.value] += 1
+            return problem(503, "Turned back", full, wait_ns=self.wait, final="turned back")
+        held = dispatcher.take(asked, now)
+        try:
+            await held.done.wait()
+        finally:
+            if held.final is None:
+                held.end(Final.LEFT)
+            dispatcher.over(held)
+        return self.answer(held)
+
+    def _full(self, model: str, size: int) -> str:
+        """At a limit nothing was begun for the task, whatever its kind: it may come again."""
+        limits, dispatcher = self.edge.limits, self.dispatcher
+        if self.server.draining:
+            return "the dispatcher stops"
+        if len(dispatcher.held) >= limits.open_tasks:
+            return f"{limits.open_tasks} tasks are held"
+        if dispatcher.bytes + size > limits.held_bytes:
+            return f"{limits.held_bytes} bytes are held"
+        if model not in dispatcher.models and len(dispatcher.models) >= limits.known_models:
+            return f"{limits.known_models} models are known"
+        return ""
+
+    def answer(self, held: Held) -> Reply:
+        task = held.task
+        if held.final is Final.SATISFIED and held.answer is not None:
+            headers: Headers = [
+                (name, value)
+                for name, value in held.answer.headers
+                if name.startswith(b"ce-") or name in PASSED_ON
+            ]
+            return Reply(200, headers, held.answer.body)
+        results = [h.result for h in task.hand_offs] if task else []
+        told: dict[str, Any] = {"hand_offs": len(results)}
+        if held.final is Final.TURNED_BACK:
+            over = task is not None and task.spare and not task.again
+            why = held.why or ("over the customer's share" if over else "no runner may take it now")
+            return problem(
+                429 if over else 503, "Turned back", why, wait_ns=held.wait, final="turned back", **told
+            )
+        late = any(r in (None, Result.SILENT, Result.CALLED_OFF) for r in results)
+        why = held.why or "no runner had an answer"
+        return problem(504 if late else 502, "Scrapped", why, final="scrapped", **told)
+
+    def crashed(self, error: BaseException) -> Reply:
+        self.log.error("a fault of ours", exc_info=error)
+        return problem(500, "A fault of ours", "the dispatcher failed on this task", final="scrapped")
+
+
+def bad(status: int, detail: str) -> Reply:
+    """What a message gets that could not be read; the connection ends behind it."""
+    wait = 1_000_000_000 if status == 503 else None
+    reply = problem(status, "Not a message that is taken", detail, wait_ns=wait)
+    reply.close = True
+    return reply
+
+
+class Admin:
+    """GET /state for people, GET /metrics in the Prometheus text format."""
+
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        from prometheus_client import CollectorRegistry
+
+        self.dispatcher = dispatcher
+        self.registry = CollectorRegistry()
+        self.registry.register(self)
+        self.server = Server(
+            self.handle, ServerLimits(connections=16), bad=bad, crashed=lambda _: bad(500, "failed")
+        )
+
+    def collect(self) -> Any:
+        from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+        counted = CounterMetricFamily("martenlead", "What ended, by kind and name", labels=["kind", "name"])
+        for (kind, name), n in sorted(self.dispatcher.counts.items()):
+            counted.add_metric([kind, name], n)
+        yield counted
+        state = self.dispatcher.state()
+        for name in ("held", "held_bytes", "models", "tick_ms", "worst_lag_ms", "closest_answer_ms"):
+            yield GaugeMetricFamily(f"martenlead_{name}", name, value=state[name] or 0.0)
+
+    async def handle(self, message: Message, _now: int) -> Reply:
+        from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+        if message.target == b"/state":
+            state = msgspec.json.format(msgspec.json.encode(self.dispatcher.state()))
+            return Reply(200, [(b"content-type", b"application/json")], state)
+        if message.target == b"/metrics":
+            return Reply(
+                200, [(b"content-type", CONTENT_TYPE_LATEST.encode())], generate_latest(self.registry)
+            )
+        return problem(404, "No such path", "/state and /metrics are here")
--- /dev/null
+++ b/martenlead/edge/serve.py
@@ -0,0 +1,75 @@
+"""The edge program from start to end: listeners, signals, shutdown."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from collections.abc import Callable
+
+import anyio
+import structlog
+
+from martenlead.config.edge import Edge
+from martenlead.edge.dispatcher import Dispatcher
+from martenlead.edge.door import Admin, Door
+from martenlead.events.server import listen
+
+
+async def serve(edge: Edge, started: Callable[[int], None] | None = None) -> None:
+    """Runs until SIGTERM or SIGINT has been obeyed. `started` is told the port. Raises OSError for the
+    listener.
+
+    The first signal: no new tasks, and every held task gets its answer, for `drain_ms` at most. The second:
+    every held task gets its answer now.
+    """
+    log = structlog.get_logger().bind(edge=edge.name)
+    dispatcher = Dispatcher(edge)
+    door = Door(dispatcher, edge)
+    listener, port = await listen(edge.listen.host, edge.listen.port)
+    async with anyio.create_task_group() as group:
+        group.start_soon(dispatcher.run)
+        admin = None
+        if edge.admin:
+            admin = Admin(dispatcher)
+            admin_listener, admin_port = await listen(edge.admin.host, edge.admin.port)
+            group.start_soon(admin.server.serve, admin_listener)
+            log.info("admin", port=admin_port)
+        await anyio.sleep(0)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async with anyio.create_task_group() as doors:
+                doors.start_soon(door.server.serve, listener)
+                log.info("serves", host=edge.listen.host, port=port, dispatchers=edge.dispatchers)
+                if started:
+                    started(port)
+                await anext(signals)
+                log.info("stops", held=len(dispatcher.held))
+                door.server.drain()
+                doors.start_soon(_finish, dispatcher, signals, edge.limits.drain_ms / 1000)
+                while dispatcher.held or door.server.connections:
+                    await anyio.sleep(0.002)
+                doors.cancel_scope.cancel()
+        log.info(
+            "stopped", closest_answer_ms=None if dispatcher.closest is None else dispatcher.closest / 1e6
+        )
+        group.cancel_scope.cancel()
+
+
+async def _finish(dispatcher: Dispatcher, signals: object, within: float) -> None:
+    """Hastens the end at the second signal, or when the time for a slow one is over."""
+    with anyio.move_on_after(within):
+        await anext(signals)  # type: ignore[call-overload]
+    dispatcher.hasten()
+
+
+def run(edge: Edge, started: Callable[[int], None] | None = None) -> None:
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(edge.log.level),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+    anyio.run(serve, edge, started, backend_options={"use_uvloop": edge.uvloop})
--- /dev/null
+++ b/martenlead/events/client.py
@@ -0,0 +1,254 @@
+"""The asking end of HTTP/1.1 on anyio: one exchange at a time on pooled connections, each end told by its
+name.
+
+An end says what the sockets did and no more; what that proves of a task is in `runnerlink.outcomes`.
+"""
+
+from __future__ import annotations
+
+import os
+import select
+import socket
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from enum import Enum
+from time import monotonic_ns
+
+import anyio
+import anyio.lowlevel
+from anyio.abc import SocketAttribute, SocketStream
+
+from martenlead.events.http import BadMessage, Limits, Message, Reader
+
+SECOND = 1_000_000_000
+
+
+class End(Enum):
+    """How an exchange ended. Before ANSWERED, what comes first in this list came first on the socket."""
+
+    NO_SLOT = "all connections that may be open are busy"
+    REFUSED = "the peer refused the connection, or it could not be reached"
+    CONNECT_TIMEOUT = "no connection in time; not a byte was sent"
+    CLOSED = "the connection ended before the first byte of an answer"
+    CUT = "the connection ended in the middle of an answer"
+    GARBAGE = "what came back is no HTTP/1.1 answer, or is over the limits"
+    ANSWERED = "a whole answer"
+
+
+@dataclass(slots=True)
+class Exchange:
+    end: End
+    message: Message | None = None
+    detail: str = ""
+
+
+class Sending:
+    """How far an exchange has come that its caller may cancel."""
+
+    __slots__ = ("wrote",)
+
+    def __init__(self) -> None:
+        self.wrote = False  # from here on a byte may have left
+
+
+class _Connection:
+    __slots__ = ("descriptor", "reader", "since", "stream")
+
+    def __init__(self, stream: SocketStream, limits: Limits) -> None:
+        self.stream = stream
+        self.descriptor: int = stream.extra(SocketAttribute.raw_socket).fileno()
+        self.reader = Reader(limits, requests=False)
+        self.since = 0
+
+    def stale(self) -> bool:
+        """Anything to read on an idle connection is its end, or bytes that answer nothing."""
+        poll = select.poll()
+        poll.register(self.descriptor, select.POLLIN | select.POLLHUP | select.POLLERR)
+        return bool(poll.poll(0))
+
+    def stray(self) -> bool:
+        """Whether what came on a stale connection are bytes, and not only its end."""
+        with socket.socket(fileno=os.dup(self.descriptor)) as own:
+            try:
+                return bool(own.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+            except OSError:
+                return False
+
+
+class Pool:
+    """Connections to one peer. Times are ns.
+
+    An idle connection is used again only within `idle` and while nothing has come on it. A peer can still
+    close it just as a request is written: that ends CLOSED, and whether the request was read is not known.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        *,
+        most: int = 64,
+        idle: int = 15 * SECOND,
+        connect: int = SECOND // 4,
+        limits: Limits | None = None,
+    ) -> None:
+        self.host, self.port = host, port
+        self.most, self.idle, self.connect = most, idle, connect
+        self.limits = limits or Limits()
+        self.open = 0
+        self.opened = 0
+        self.strays = 0  # answers, or other bytes, that no request of ours asked for
+        self._idle: list[_Connection] = []
+
+    async def exchange(self, data: bytes, sending: Sending | None = None) -> Exchange:
+        """Sends one request and waits for its answer, without an end of its own: the caller's scope sets it.
+
+        Cancelled, or ended by anything but a whole answer that keeps the connection, it closes the
+        connection: no late answer can meet a later request.
+        """
+        connection = await self._reuse()
+        if connection is None:
+            if self.open >= self.most:
+                return Exchange(End.NO_SLOT)
+            self.open += 1
+            made = await self._connect()
+            if isinstance(made, Exchange):
+                self.open -= 1
+                return made
+            connection = made
+        good = False
+        try:
+            exchange = await self._exchange(connection, data, sending or Sending())
+            message = exchange.message
+            good = exchange.end is End.ANSWERED and message is not None and message.keep_alive
+            return exchange
+        finally:
+            if good:
+                connection.since = monotonic_ns()
+                self._idle.append(connection)
+            else:
+                self.open -= 1
+                with anyio.CancelScope(shield=True):
+                    await anyio.aclose_forcefully(connection.stream)
+
+    async def _reuse(self) -> _Connection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            stale = connection.stale()
+            if not stale and monotonic_ns() - connection.since < self.idle:
+                return connection
+            self.strays += stale and connection.stray()
+            self.open -= 1
+            await anyio.aclose_forcefully(connection.stream)
+        return None
+
+    async def _connect(self) -> _Connection | Exchange:
+        try:
+            with anyio.fail_after(self.connect / 1e9):
+                stream = await anyio.connect_tcp(self.host, self.port)
+        except TimeoutError:
+            return Exchange(End.CONNECT_TIMEOUT)
+        except OSError as error:
+            return Exchange(End.REFUSED, detail=str(error))
+        except BaseException:
+            self.open -= 1
+            raise
+        self.opened += 1
+        return _Connection(stream, self.limits)
+
+    async def _exchange(self, connection: _Connection, data: bytes, sending: Sending) -> Exchange:
+        stream, reader = connection.stream, connection.reader
+        begun = False
+        try:
+            await anyio.lowlevel.checkpoint_if_cancelled()
+            sending.wrote = True
+            await stream.send(data)
+            while True:
+                part = await stream.receive()
+                begun = True
+                done = reader.feed(part)
+                if done:
+                    if len(done) > 1 or reader.in_message:
+                        done[
+                            0
+                        ].keep_alive = (
+                            False  # answers nobody asked for: the first counts, the rest is dropped
+                        )
+                    return Exchange(End.ANSWERED, done[0])
+        except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return Exchange(End.CUT if begun else End.CLOSED)
+        except BadMessage as error:
+            if reader.done:
+                reader.done[0].keep_alive = False
+                self.strays += 1
+                return Exchange(End.ANSWERED, reader.done[0])
+            return Exchange(End.GARBAGE, detail=error.detail)
+
+    async def close(self) -> None:
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            self.open -= 1
+            self.strays += connection.stale() and connection.stray()
+            await anyio.aclose_forcefully(connection.stream)
+
+
+async def lines(host: str, port: int, data: bytes, *, quiet: float, longest: int) -> AsyncIterator[bytes]:
+    """The lines of a chunked answer that does not end, as they come.
+
+    Raises OSError, anyio's errors of a broken stream, TimeoutError after `quiet` seconds without a byte, and
+    `BadMessage` for an answer other than 200 or a line over `longest` bytes.
+    """
+    stream = await anyio.connect_tcp(host, port)
+    try:
+        await stream.send(data)
+        left = b""
+        status = 0
+        reader = _Stream()
+        while True:
+            with anyio.fail_after(quiet):
+                part = await stream.receive()
+            left += reader.feed(part)
+            status = reader.status
+            if status not in (0, 200):
+                raise BadMessage(502, f"status {status}")
+            *whole, left = left.split(b"\n")
+            if len(left) > longest:
+                raise BadMessage(502, f"a line over {longest} bytes")
+            for line in whole:
+                if line:
+                    yield line
+            if reader.ended:
+                return
+    finally:
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(stream)
+
+
+class _Stream:
+    """The body of one answer as it comes."""
+
+    def __init__(self) -> None:
+        import httptools
+
+        self.parser = httptools.HttpResponseParser(self)
+        self.parts: list[bytes] = []
+        self.status = 0
+        self.ended = False
+        self._errors = httptools.HttpParserError
+
+    def on_headers_complete(self) -> None:
+        self.status = self.parser.get_status_code()
+
+    def on_body(self, body: bytes) -> None:
+        self.parts.append(body)
+
+    def on_message_complete(self) -> None:
+        self.ended = True
+
+    def feed(self, data: bytes) -> bytes:
+        self.parts.clear()
+        try:
+            self.parser.feed_data(data)
+        except self._errors as error:
+            raise BadMessage(502, f"not HTTP/1.1: {error}") from None
+        return b"".join(self.parts)
--- /dev/null
+++ b/martenlead/events/http.py
@@ -0,0 +1,201 @@
+"""HTTP/1.1 messages (RFC 9112) without I/O: bytes in, whole messages or one `BadMessage` out.
+
+The parser is httptools (llhttp); docs/design/edge.md weighs it against h11. What the parser leaves open is
+bound here: sizes, versions, and every case in which two readers of the same bytes could see different
+messages.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any
+
+import httptools
+
+Headers = list[tuple[bytes, bytes]]
+METHODS_WITHOUT_BODY = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
+
+
+class BadMessage(Exception):
+    """The bytes are no message that may be acted on.
+
+    `status` is what the peer is to be told, `sure` whether the next message's first byte is known all the
+    same.
+    """
+
+    def __init__(self, status: int, detail: str, *, sure: bool = False) -> None:
+        super().__init__(detail)
+        self.status, self.detail, self.sure = status, detail, sure
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """Bytes that one message may hold; beyond them the peer is told 431 or 413 and the connection ends."""
+
+    head: int = 16 * 1024
+    body: int = 1024 * 1024
+    headers: int = 100
+
+
+@dataclass(slots=True)
+class Message:
+    """A request (`method`, `target`) or a response (`status`), whole."""
+
+    method: bytes = b""
+    target: bytes = b""
+    status: int = 0
+    headers: Headers = field(default_factory=list)
+    body: bytes = b""
+    keep_alive: bool = True
+
+    def header(self, name: bytes) -> bytes | None:
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+class Reader:
+    """Feeds one direction of one connection to the parser. After a `BadMessage` it takes nothing more."""
+
+    def __init__(self, limits: Limits, *, requests: bool) -> None:
+        self.limits = limits
+        self.requests = requests
+        self.done: list[Message] = []
+        self.continues = False  # the peer waits for a 100 before it sends the body
+        self.in_head = self.in_message = False
+        self._head = 0
+        self._size = 0
+        self._chunks: list[bytes] = []
+        self._message = Message()
+        self._bad: BadMessage | None = None
+        kind = httptools.HttpRequestParser if requests else httptools.HttpResponseParser
+        self._parser: Any = kind(self)
+
+    def feed(self, data: bytes) -> list[Message]:
+        """Whole messages that these bytes ended, oldest first. Raises `BadMessage`; those before it stay in
+        `done`."""
+        if self._bad:
+            raise self._bad
+        self.done = []
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._bad = BadMessage(501, "upgrades are not offered here")
+        except httptools.HttpParserCallbackError:
+            self._bad = self._bad or BadMessage(400, "the message could not be read")
+        except httptools.HttpParserError as error:
+            self._bad = self._bad or BadMessage(400, f"not HTTP/1.1: {error}")
+        if not self._bad and self.in_head:
+            self._head += len(data)
+            if self._head > self.limits.head:
+                self._bad = BadMessage(431, f"the header is over {self.limits.head} bytes")
+        if self._bad:
+            raise self._bad
+        return self.done
+
+    def _stop(self, bad: BadMessage) -> None:
+        self._bad = self._bad or bad
+        raise bad
+
+    # -- the parser's calls
+
+    def on_message_begin(self) -> None:
+        self._message = Message()
+        self._head = self._size = 0
+        self._chunks = []
+        self.in_head = self.in_message = True
+        self.continues = False
+
+    def on_url(self, url: bytes) -> None:
+        self._message.target += url
+
+    def on_status(self, status: bytes) -> None:
+        self._message.status = self._parser.get_status_code()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        headers = self._message.headers
+        headers.append((name.lower(), value))
+        self._head += len(name) + len(value)
+        if len(headers) > self.limits.headers or self._head > self.limits.head:
+            self._stop(
+                BadMessage(431, f"the header is over {self.limits.head} bytes or {self.limits.headers} lines")
+            )
+        if any((byte < 32 and byte != 9) or byte == 127 for byte in value):
+            self._stop(BadMessage(400, f"header {name.decode('latin-1')} holds a control byte"))
+
+    def on_headers_complete(self) -> None:
+        message, parser = self._message, self._parser
+        self.in_head = False
+        version = parser.get_http_version()
+        if version != "1.1":
+            self._stop(BadMessage(505, f"HTTP/{version} is not spoken here; HTTP/1.1 is"))
+        names = [name for name, _ in message.headers]
+        if b"content-length" in names and b"transfer-encoding" in names:
+            self._stop(BadMessage(400, "both Content-Length and Transfer-Encoding"))
+        if names.count(b"content-length") > 1 or names.count(b"transfer-encoding") > 1:
+            self._stop(BadMessage(400, "the body's length is told twice"))
+        coding = message.header(b"transfer-encoding")
+        if coding is not None and coding.strip().lower() != b"chunked":
+            self._stop(BadMessage(501, "Transfer-Encoding other than chunked"))
+        length = message.header(b"content-length")
+        if length is not None and int(length) > self.limits.body:
+            self._stop(BadMessage(413, f"the body is over {self.limits.body} bytes"))
+        message.keep_alive = parser.should_keep_alive()
+        if self.requests:
+            message.method = parser.get_method()
+            if names.count(b"host") != 1:
+                self._stop(BadMessage(400, "exactly one Host header is expected"))
+            expect = message.header(b"expect")
+            if expect is not None:
+                if expect.lower() != b"100-continue":
+                    self._stop(BadMessage(417, "only 100-continue can be expected"))
+                self.continues = True
+        else:
+            message.status = parser.get_status_code()
+
+    def on_body(self, body: bytes) -> None:
+        self._size += len(body)
+        if self._size > self.limits.body:
+            self._stop(BadMessage(413, f"the body is over {self.limits.body} bytes"))
+        self._chunks.append(body)
+
+    def on_message_complete(self) -> None:
+        message = self._message
+        message.body = b"".join(self._chunks)
+        self._chunks = []
+        self.in_head = self.in_message = self.continues = False
+        if not self.requests and 100 <= message.status < 200:
+            return
+        self.done.append(message)
+
+
+def _head(first: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes | None) -> bytes:
+    lines = [first]
+    lines += [b"%b: %b" % pair for pair in headers]
+    if body is not None:
+        lines.append(b"content-length: %d" % len(body))
+    lines.append(b"\r\n")
+    return b"\r\n".join(lines) + (body or b"")
+
+
+def request(
+    method: bytes, target: bytes, host: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes = b""
+) -> bytes:
+    """A request with a sized body."""
+    return _head(b"%b %b HTTP/1.1\r\nhost: %b" % (method, target, host), headers, body)
+
+
+REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+
+
+def response(status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes | None = b"") -> bytes:
+    """A response with a sized body; with None the body follows as the caller's headers say."""
+    return _head(b"HTTP/1.1 %d %b" % (status, REASONS.get(status, b"")), headers, body)
+
+
+def chunk(data: bytes) -> bytes:
+    """One chunk of a chunked body; empty data is the last chunk."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
--- /dev/null
+++ b/martenlead/runnerlink/outcomes.py
@@ -0,0 +1,93 @@
+"""One table from how an exchange with a runner ended to the module's `Result`, and why.
+
+The question in every line is rule 2's: does this prove that the task never ran? Proof is either that not one
+byte of the task left this machine, or the runner's own word. Everything else may have run.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from martenlead.events.client import End, Exchange
+from martenlead.events.http import Message
+from martenlead.interface import Result, Warmth
+
+NEVER_RAN = (
+    b"martenlead-never-ran"  # the runner's word, on a 503 or 404: it has not begun the task and will not
+)
+COPY = b"martenlead-copy"  # what the task met
+STATE = b"martenlead-state"  # draining: the runner takes nothing new
+REPORT = b"martenlead-report"  # load report, name=value pairs with commas
+
+WARMTH = {
+    b"warm": Warmth.WARM,
+    b"began": Warmth.BEGAN,
+    b"waited": Warmth.WAITED,
+    b"load-failed": Warmth.LOAD_FAILED,
+}
+
+SOCKET = {
+    # nothing was written: the connection was never there
+    End.REFUSED: Result.UNREACHED,
+    End.CONNECT_TIMEOUT: Result.UNREACHED,
+    # nothing was written, and it says nothing of the runner: the bound is ours
+    End.NO_SLOT: Result.NOT_SENT,
+    # the request may have been read before the end; also where a pooled connection closed just as it was
+    # written
+    End.CLOSED: Result.BROKEN,
+    # an answer had begun, so the task had most likely ended; its content is lost
+    End.CUT: Result.BROKEN,
+    # something answers there that is no runner, or one gone mad; the task may have run
+    End.GARBAGE: Result.BROKEN,
+}
+"""Ends without an answer. Two more come from our own side, `without_answer`. A task whose time was over
+before a connection was asked for is NOT_SENT."""
+
+
+@dataclass(slots=True)
+class Heard:
+    """What one exchange told: its result, the copy it met, and whether the runner says that it drains."""
+
+    result: Result
+    warmth: Warmth = Warmth.UNTOLD
+    drains: bool = False
+    message: Message | None = None
+    why: str = ""
+
+
+def heard(exchange: Exchange) -> Heard:
+    """Reads an exchange of a hand-off. Every one maps to exactly one `Result`."""
+    message = exchange.message
+    if message is None or exchange.end is not End.ANSWERED:
+        return Heard(SOCKET.get(exchange.end, Result.BROKEN), why=exchange.detail or exchange.end.value)
+    drains = message.header(STATE) == b"draining"
+    warmth = WARMTH.get(message.header(COPY) or b"", Warmth.UNTOLD)
+    if 200 <= message.status < 300:
+        return Heard(Result.SATISFIED, warmth, drains, message)
+    proof = message.header(NEVER_RAN) is not None
+    if message.status in (429, 503) and proof:
+        return Heard(Result.FULL, warmth, drains, message, "turned away")
+    if message.status == 404 and proof:
+        return Heard(Result.MISSING, warmth, drains, message, "no copy stands there")
+    # an error, or a refusal without the runner's word that nothing ran: a relay between could have said it
+    return Heard(Result.ERROR, warmth, drains, message, f"status {message.status}")
+
+
+def without_answer(*, called_off: bool, wrote: bool) -> Heard:
+    """An exchange that our side ended: by its time-out, or called off. `wrote`: a byte may have left."""
+    if called_off:
+        return Heard(Result.CALLED_OFF if wrote else Result.NOT_SENT, why="called off")
+    # not connected within the whole patience says the same of the runner as a time-out of the connect
+    return Heard(Result.SILENT if wrote else Result.UNREACHED, why="no answer in time")
+
+
+def ordered(exchange: Exchange) -> tuple[Result, str]:
+    """Reads an exchange of an order; the copies that stand are in the answer's body."""
+    message = exchange.message
+    if message is None or exchange.end is not End.ANSWERED:
+        return SOCKET.get(exchange.end, Result.BROKEN), exchange.detail or exchange.end.value
+    if message.status == 200:
+        return Result.SATISFIED, ""
+    if message.status in (429, 503):
+        return Result.FULL, "no room, too many loads, or draining"
+    return Result.ERROR, f"status {message.status}"
--- /dev/null
+++ b/martenlead/runnerlink/roster.py
@@ -0,0 +1,106 @@
+"""The roster's stream: versions, whole lists and changes, one JSON object a line. No decisions.
+
+`GET /roster?after=N` answers with lines that do not end. A line holds `version`; with `whole` it is the full
+list, else what changed since the version before. A line without `runners` keeps the stream alive. Whoever
+misses a version asks again after 0 and is sent the whole list.
+"""
+
+from __future__ import annotations
+
+import os
+import time
+from pathlib import Path
+from typing import Literal
+
+import msgspec
+
+
+class Line(msgspec.Struct, omit_defaults=True):
+    """A runner. `start` names this life of its process; `age_ms` is how long that life had lasted when the
+    line was written, absent for long past: an age and not a time, since the clocks of two machines differ."""
+
+    id: str
+    host: str = "127.0.0.1"
+    port: int = 0
+    zone: str = ""
+    cell: int = 0
+    kind: str = ""
+    memory_mb: float = 0.0
+    weight: float = 0.0
+    state: Literal["up", "draining", "gone"] = "up"
+    start: str = ""
+    age_ms: float | None = None
+
+
+class News(msgspec.Struct, omit_defaults=True):
+    version: int
+    whole: bool = False
+    runners: list[Line] | None = None
+
+
+class Kept(msgspec.Struct):
+    """The list as it lies on disk, with the wall clock's time (s) of its writing."""
+
+    version: int
+    saved: float
+    runners: list[Line]
+
+
+decode = msgspec.json.Decoder(News).decode
+encode = msgspec.json.encode
+
+
+class Gap(Exception):
+    """A version is missing: the whole list has to be asked for."""
+
+
+class List:
+    """The list of one subscriber, from the news that it is told in order."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.lines: dict[str, Line] = {}
+
+    def told(self, news: News) -> bool:
+        """Takes news in; true where there is something to tell on. Raises `Gap` for one missed version or
+        more."""
+        if news.runners is None:
+            if news.version != self.version:
+                raise Gap(f"at {self.version}, the roster is at {news.version}")
+            return False
+        if news.whole:
+            self.lines = {line.id: line for line in news.runners if line.state != "gone"}
+        else:
+            if news.version != self.version + 1:
+                raise Gap(f"at {self.version}, told of {news.version}")
+            for line in news.runners:
+                if line.state == "gone":
+                    self.lines.pop(line.id, None)
+                else:
+                    self.lines[line.id] = line
+        self.version = news.version
+        return True
+
+
+def keep(path: Path, kept: Kept) -> None:
+    """Writes the list so that a reader finds the old file or the new one, whole. Raises OSError."""
+    temporary = path.with_name(f"{path.name}.{os.getpid()}.new")
+    with open(temporary, "wb") as file:
+        file.write(encode(kept))
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(temporary, path)
+
+
+def kept(path: Path) -> Kept | None:
+    """The list that an earlier life kept, its ages grown by the time since; None where there is none to be
+    read."""
+    try:
+        found = msgspec.json.decode(path.read_bytes(), type=Kept)
+    except (OSError, msgspec.DecodeError):
+        return None
+    passed = max(0.0, time.time() - found.saved) * 1000
+    for line in found.runners:
+        if line.age_ms is not None:
+            line.age_ms += passed
+    return found
--- /dev/null
+++ b/martenlead/standins/runner.py
@@ -0,0 +1,513 @@
+"""Runners: copies with lanes, memory, loads from a vault, a waiting room, cold starts, drains and faults.
+
+Scaled down: a task's time is fixed when it begins, from its work, the runner's speed, how many run beside it
+and how cold it is. That keeps a fleet on one machine and leaves out what running tasks do to each other later
+on.
+"""
+
+from __future__ import annotations
+
+import re
+from collections import deque
+from collections.abc import Callable
+from random import Random
+from time import monotonic_ns
+from typing import Any
+from urllib.parse import quote, unquote
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+
+from martenlead.events import http
+from martenlead.events.client import Pool
+from martenlead.events.cloudevent import BadEvent, Event, read, write
+from martenlead.events.http import Message
+from martenlead.events.server import Reply, Server, listen
+from martenlead.standins.life import epoch, for_seconds, on_cue, plain, ready, server
+from martenlead.standins.record import Recorder
+from martenlead.standins.settings import Fault, Host, OfferingPart, RunnerPart
+
+LOAD = re.compile(rb"/v2/repository/models/([^/]+)/(load|unload)\Z")
+NEVER_RAN = (b"martenlead-never-ran", b"1")
+
+
+class Copies:
+    """What one runner has of one model."""
+
+    def __init__(self, model: str, offering: OfferingPart, memory: float, lanes: int) -> None:
+        self.model, self.offering, self.memory, self.lanes = model, offering, memory, lanes
+        self.standing = self.loading = self.running = 0
+        self.touched = monotonic_ns()
+        self.waiting: deque[Place] = deque()
+        self.changed = anyio.Event()  # a load has ended
+        self.failed = 0
+
+
+class Place:
+    """A task's place in the waiting room: `go` is set when it has a lane, or when none will come
+    (`never`)."""
+
+    __slots__ = ("go", "never")
+
+    def __init__(self) -> None:
+        self.go = anyio.Event()
+        self.never = ""
+
+
+class Marks:
+    """What a group of runners knows of the deduplicated tasks that it has run: it drops repeats by their
+    mark."""
+
+    def __init__(self) -> None:
+        self.seen: dict[tuple[str, str], tuple[int, anyio.Event]] = {}
+
+    def find(self, mark: tuple[str, str], window: int) -> anyio.Event | None:
+        found = self.seen.get(mark)
+        return found[1] if found and monotonic_ns() - found[0] < window else None
+
+    def begin(self, mark: tuple[str, str]) -> anyio.Event:
+        done = anyio.Event()
+        self.seen[mark] = monotonic_ns(), done
+        return done
+
+
+class Runner:
+    def __init__(self, part: RunnerPart, host: HostProcess) -> None:
+        self.part, self.host, self.record = part, host, host.record
+        self.chance = Random(f"{host.settings.seed}:{part.name}")
+        self.life = 0
+        self.copies: dict[str, Copies] = {}
+        self.loads = self.running = self.waiting = 0
+        self.draining = False
+        self.started = -1 << 62  # warm from long ago
+        self.slow = 1.0
+        self.lost = self.garbage = self.twice = 0.0
+        self.deaf = False
+        self.gate: anyio.Event | None = None  # set when a pause is over
+        self.server: Server | None = None
+        self.port = part.port
+
+    # -- life
+
+    async def serve(self) -> None:
+        listener, self.port = await listen("127.0.0.1", self.port)
+        self.server = server(self.handle, self.part.connections)
+        await self.server.serve(listener)
+
+    async def start(self) -> None:
+        """A new life of the process: cold and empty."""
+        self.life += 1
+        self.copies.clear()
+        self.loads = self.running = self.waiting = 0
+        self.draining, self.slow = False, 1.0
+        self.lost = self.garbage = self.twice = 0.0
+        self.started = self.record("up", runner=self.part.name, life=self.life)
+        self.host.group.start_soon(self.serve)
+        self.host.group.start_soon(self.sweep, self.life)
+
+    def vanish(self) -> None:
+        """The process dies: what it held is lost, connections break."""
+        self.record("down", runner=self.part.name, life=self.life)
+        self.life += 1
+        if self.server is not None:
+            self.server.drain()
+            for connection in list(self.server.connections):
+                connection.scope.cancel()
+
+    async def sweep(self, life: int) -> None:
+        """Unloads what has lain idle."""
+        while life == self.life:
+            await anyio.sleep(0.25)
+            now = monotonic_ns()
+            for model, copies in list(self.copies.items()):
+                if copies.running or copies.waiting or copies.loading:
+                    copies.touched = now
+                elif now - copies.touched > self.part.keep_ms * 1e6:
+                    del self.copies[model]
+
+    def capacity(self) -> float:
+        """Share of its full speed: a runner that has just started is cold."""
+        age = (monotonic_ns() - self.started) / 1e6 / self.part.cold_ms
+        return 1.0 if age >= 1 else self.part.cold_from + (1 - self.part.cold_from) * age
+
+    # -- requests
+
+    async def handle(self, message: Message, _now: int) -> Reply:
+        if self.deaf:
+            await anyio.sleep(3600)
+        if self.gate is not None:
+            await self.gate.wait()
+        edge = (message.header(b"user-agent") or b"").decode().removeprefix("martenlead/")
+        order = LOAD.match(message.target)
+        if message.method == b"GET" and message.target == b"/v2/health/ready":
+            return self.told(plain(200, "ready"))
+        if order:
+            return await self.ordered(edge, unquote(order[1].decode()), order[2] == b"load", message.body)
+        if message.method != b"POST" or message.target != b"/":
+            return plain(404)
+        try:
+            event = read(message.headers, message.body)
+        except BadEvent as error:
+            return plain(400, str(error))
+        return await self.task(edge, event)
+
+    def told(self, reply: Reply, copy: bytes = b"") -> Reply:
+        memory = sum(c.memory * (c.standing + c.loading) for c in self.copies.values())
+        report = f"busy={min(1.0, self.running / self.part.cores):.2f},x0={memory / self.part.memory_mb:.2f}"
+        reply.headers.append((b"martenlead-report", f"{report},x1={self.loads}".encode()))
+        if copy and self.part.tells_warm:
+            reply.headers.append((b"martenlead-copy", copy))
+        if self.draining:
+            reply.headers.append((b"martenlead-state", b"draining"))
+        return reply
+
+    def never(self, status: int, why: str, about: dict[str, Any], copy: bytes = b"") -> Reply:
+        self.record("refused", why=why, **about)
+        reply = plain(status, why)
+        reply.headers.append(NEVER_RAN)
+        return self.told(reply, copy)
+
+    async def task(self, edge: str, event: Event) -> Reply:
+        name = self.part.name
+        about = {
+            "runner": name,
+            "edge": edge,
+            "id": event.text("id"),
+            "try": event.text("tryid") or event.text("id"),
+            "offering": event.text("type"),
+            "handoff": int(event.text("handoff") or 0),
+            "way": self.host.way(),
+        }
+        self.record("came", model=event.text("model"), zone=self.part.zone, cell=self.part.cell, **about)
+        offering = self.host.offerings.get(str(event.attributes["type"]))
+        model = event.text("model")
+        if offering is None or not model:
+            return self.told(plain(400, "type, model"))
+        about = {"way": about["way"]}
+        try:
+            reply = await self.run(event, offering, model, about)
+            self.record("answered", **about)
+            return reply
+        except anyio.get_cancelled_exc_class():
+            self.record("cut", **about)  # the edge has closed the connection
+            raise
+
+    async def run(self, event: Event, offering: OfferingPart, model: str, about: dict[str, Any]) -> Reply:
+        if self.draining:
+            return self.never(503, "draining", about)
+        marks = self.host.marks(self.part, offering)
+        if marks is not None:
+            known = marks.find(event.mark, int(offering.window_ms * 1e6))
+            if known is not None:
+                await known.wait()
+                self.record("repeat", **about)
+                return self.answer(event, offering, b"warm")
+        copies = self.copies.get(model)
+        copy = b"warm"
+        if copies is None or not copies.standing:
+            if copies is not None and copies.loading:
+                copy = b"waited"
+            else:
+                if not self.part.loads_on_miss:
+                    return self.never(404, "missing", about)
+                lanes = int(event.text("lanes") or offering.lanes)
+                memory = float(event.text("memorymb") or offering.memory_mb)
+                copies = self.known(model, offering, memory, lanes)
+                copy = b"began"
+                if not self.load(copies):
+                    return self.never(503, "no room for a load", about)
+        if self.waiting >= self.part.queue:
+            return self.never(503, "full", about)
+        left = float(event.text("timeleftms") or offering.hard_limit_ms)
+        place = Place()
+        copies.waiting.append(place)
+        self.waiting += 1
+        self.begin_next(copies)
+        try:
+            with anyio.move_on_after(left / 1000) as scope:
+                await place.go.wait()
+        except anyio.get_cancelled_exc_class():
+            if place.go.is_set():
+                self.end(copies)
+            elif self.part.drops_waiting:
+                copies.waiting.remove(place)
+                self.waiting -= 1
+            else:
+                self.host.group.start_soon(self.alone, copies, place, event, offering, about)
+            raise
+        if scope.cancelled_caught and not place.go.is_set():
+            copies.waiting.remove(place)
+            self.waiting -= 1
+            return self.never(503, "its time was over before it could begin", about)
+        if place.never:
+            return self.never(404, place.never, about, b"load-failed")
+        done = anyio.Event()
+        self.host.group.start_soon(self.work, copies, event, offering, about, done)
+        await done.wait()  # the work goes on if the edge leaves
+        if self.gate is not None:
+            await self.gate.wait()
+        if self.chance.random() < self.lost:
+            self.record("lost", **about)
+            await anyio.sleep(3600)
+        return self.answer(event, offering, copy)
+
+    async def alone(
+        self, copies: Copies, place: Place, event: Event, offering: OfferingPart, about: dict[str, Any]
+    ) -> None:
+        with anyio.move_on_after(60):
+            await place.go.wait()
+            if not place.never:
+                await self.work(copies, event, offering, about, anyio.Event())
+
+    async def work(
+        self, copies: Copies, event: Event, offering: OfferingPart, about: dict[str, Any], done: anyio.Event
+    ) -> None:
+        marks = self.host.marks(self.part, offering)
+        known = marks.begin(event.mark) if marks is not None else None
+        life = self.life
+        self.record("ran", id=event.text("id"), **about)
+        asked = float(event.text("costms") or offering.work_ms)
+        crowd = max(1.0, self.running / self.part.cores)
+        took = asked * self.chance.uniform(0.9, 1.1) * crowd * self.slow / self.part.speed / self.capacity()
+        await anyio.sleep(took / 1000)
+        self.record("done", **about)
+        if known is not None:
+            known.set()
+        if life == self.life:
+            self.end(copies)
+        done.set()
+
+    def end(self, copies: Copies) -> None:
+        copies.running -= 1
+        self.running -= 1
+        copies.touched = monotonic_ns()
+        self.begin_next(copies)
+
+    def answer(self, event: Event, offering: OfferingPart, copy: bytes) -> Reply:
+        result = Event(
+            {
+                "specversion": "1.0",
+                "id": f"{event.text('id')}.answer",
+                "source": f"/runners/{quote(self.part.name)}",
+                "type": f"{offering.name}.answer",
+            },
+            b'{"payment":120}',
+            "application/json",
+        )
+        for name in ("traceparent", "tracestate"):
+            if name in event.attributes:
+                result.attributes[name] = event.attributes[name]
+        headers, body = write(result)
+        reply = self.told(Reply(200, headers, body), copy)
+        if self.chance.random() < self.garbage:
+            reply.headers.append((b"content-length", b"nonsense"))
+        return reply
+
+    # -- copies
+
+    def known(self, model: str, offering: OfferingPart, memory: float, lanes: int) -> Copies:
+        if model not in self.copies:
+            self.copies[model] = Copies(model, offering, memory, lanes)
+        return self.copies[model]
+
+    def begin_next(self, copies: Copies) -> None:
+        while copies.waiting and copies.running < copies.lanes * copies.standing:
+            copies.running += 1
+            self.running += 1
+            self.waiting -= 1
+            copies.waiting.popleft().go.set()
+
+    def load(self, copies: Copies) -> bool:
+        """Begins a load, if there is room and a place among the loads."""
+        if self.loads >= 3 * self.part.loads_at_once or not self.make_room(copies.memory):
+            return False
+        copies.loading += 1
+        self.loads += 1
+        self.host.group.start_soon(self.loaded, copies, self.life, self.loads)
+        return True
+
+    def make_room(self, memory: float) -> bool:
+        def used() -> float:
+            return sum(c.memory * (c.standing + c.loading) for c in self.copies.values())
+
+        idle = sorted(
+            (c for c in self.copies.values() if not c.running and not c.waiting and c.standing),
+            key=lambda c: c.touched,
+        )
+        while used() + memory > self.part.memory_mb:
+            if not idle:
+                return False
+            oldest = idle.pop(0)
+            oldest.standing = 0
+            if not oldest.loading:
+                self.copies.pop(oldest.model, None)
+        return True
+
+    async def loaded(self, copies: Copies, life: int, ahead: int) -> None:
+        offering = copies.offering
+        self.record("load", runner=self.part.name, model=copies.model)
+        spread = Random(f"{copies.model}").uniform(0.8, 1.2)
+        total = offering.load_ms * spread * max(1.0, ahead / self.part.loads_at_once)
+        good = await self.fetch(copies.model, total * offering.fetch_share)
+        if good:
+            await anyio.sleep(total * (1 - offering.fetch_share) / 1000)
+        if life != self.life:
+            return
+        self.loads -= 1
+        copies.loading -= 1
+        if good:
+            copies.standing += 1
+            copies.touched = monotonic_ns()
+            self.begin_next(copies)
+        else:
+            copies.failed += 1
+            if not copies.standing and not copies.loading:
+                while copies.waiting:
+                    self.waiting -= 1
+                    place = copies.waiting.popleft()
+                    place.never = "the load failed"
+                    place.go.set()
+                self.copies.pop(copies.model, None)
+        copies.changed.set()
+        copies.changed = anyio.Event()
+
+    async def fetch(self, model: str, ms: float) -> bool:
+        vault = self.host.vault
+        if vault is None:
+            await anyio.sleep(ms / 1000)
+            return True
+        target = f"/models/{quote(model, safe='')}?ms={ms:.0f}".encode()
+        with anyio.move_on_after(30):
+            exchange = await vault.exchange(http.request(b"GET", target, b"vault", []))
+            return exchange.message is not None and exchange.message.status == 200
+        return False
+
+    async def ordered(self, edge: str, model: str, load: bool, body: bytes) -> Reply:
+        try:
+            asked = msgspec.json.decode(body or b"{}", type=dict[str, Any]).get("parameters", {})
+            count = min(int(asked.get("copies", 1)), 16)
+            memory, lanes = float(asked.get("memory_mb", 0)), int(asked.get("lanes", 1))
+        except (msgspec.DecodeError, ValueError, AttributeError, TypeError):
+            return plain(400, "parameters")
+        self.record(
+            "order" if load else "unload", runner=self.part.name, edge=edge, model=model, copies=count
+        )
+        copies = self.copies.get(model)
+        if not load:
+            if copies is not None and not copies.running and not copies.waiting:
+                copies.standing = 0
+            return self.told(plain(200))
+        if not count:
+            return self.stand(200, copies)
+        if self.draining:
+            return self.stand(503, copies)
+        if copies is None:
+            copies = self.known(model, self.host.offering_of(model), memory, lanes)
+        copies.touched = monotonic_ns()
+        failed, life = copies.failed, self.life
+        while copies.standing + copies.loading < count:
+            if not self.load(copies):
+                return self.stand(503, copies)
+        with anyio.move_on_after(30):
+            while copies.standing < count and copies.failed == failed and life == self.life:
+                await copies.changed.wait()
+        return self.stand(200 if copies.standing >= count else 500, copies)
+
+    def stand(self, status: int, copies: Copies | None) -> Reply:
+        body = msgspec.json.encode({"copies": copies.standing if copies else 0})
+        return self.told(Reply(status, [(b"content-type", b"application/json")], body))
+
+    # -- faults
+
+    async def play(self, fault: Fault) -> None:
+        self.record("fault", runner=self.part.name, kind=fault.kind, for_ms=fault.for_ms)
+        match fault.kind:
+            case "slow":
+                self.slow = fault.size
+                await anyio.sleep(fault.for_ms / 1000)
+                self.slow = 1.0
+            case "ageing":
+                steps = 20
+                for step in range(steps):
+                    self.slow = 1 + (fault.size - 1) * step / steps
+                    await anyio.sleep(fault.for_ms / 1000 / steps)
+                self.vanish()
+            case "pause":
+                gate = self.gate = anyio.Event()
+                await anyio.sleep(fault.for_ms / 1000)
+                gate.set()
+                self.gate = None
+            case "drain":
+                self.draining = True
+            case "vanish":
+                self.vanish()
+            case "start":
+                await self.start()
+            case "release":
+                for model in fault.models:
+                    copies = self.copies.get(model)
+                    if copies is not None and not copies.loading:
+                        copies.standing = 0
+                        if copies.waiting:
+                            self.load(copies)
+                        elif not copies.running:
+                            self.copies.pop(model, None)
+            case "answer_lost" | "garbage":
+                attribute = "lost" if fault.kind == "answer_lost" else "garbage"
+                setattr(self, attribute, fault.size)
+                await anyio.sleep(fault.for_ms / 1000)
+                setattr(self, attribute, 0.0)
+            case "deaf":
+                self.deaf = True
+                await anyio.sleep(fault.for_ms / 1000)
+                self.deaf = False
+
+
+class HostProcess:
+    """Some runners in one process. Groups that drop repeats share their knowledge within it."""
+
+    def __init__(self, settings: Host) -> None:
+        self.settings = settings
+        self.record = Recorder(settings.record)
+        self.offerings = {o.name: o for o in settings.offerings}
+        self.vault = Pool(settings.vault.host, settings.vault.port, most=4096) if settings.vault else None
+        self.runners = {part.name: Runner(part, self) for part in settings.runners}
+        self._marks: dict[Any, Marks] = {}
+        self._ways = 0
+        self.group: TaskGroup
+
+    def way(self) -> str:
+        """A name for one arrival of one hand-off."""
+        self._ways += 1
+        return f"{self.settings.runners[0].name}/{self._ways}"
+
+    def marks(self, part: RunnerPart, offering: OfferingPart) -> Marks | None:
+        if offering.effect != "deduplicated":
+            return None
+        where = {"all": (), "zone": (part.zone,), "cell": (part.zone, part.cell)}[offering.group]
+        return self._marks.setdefault((offering.name, where), Marks())
+
+    def offering_of(self, model: str) -> OfferingPart:
+        """Models are named OFFERING.NUMBER; one that is not is taken for the first offering's."""
+        return self.offerings.get(model.rpartition(".")[0]) or self.settings.offerings[0]
+
+    async def play(self, fault: Fault) -> None:
+        await self.runners[fault.who].play(fault)
+
+    async def run(self, then: Callable[[], None] | None = None) -> None:
+        async with anyio.create_task_group() as group:
+            self.group = group
+            for runner in self.runners.values():
+                listener, runner.port = await listen("127.0.0.1", runner.part.port)
+                runner.server = server(runner.handle, runner.part.connections)
+                group.start_soon(runner.server.serve, listener)
+                group.start_soon(runner.sweep, runner.life)
+            ready(ports={name: runner.port for name, runner in self.runners.items()})
+            if then:
+                then()
+            await on_cue(await epoch(self.settings.epoch_ns), self.settings.faults, self.play)
+
+
+async def run(settings: Host) -> None:
+    await for_seconds(settings.seconds, HostProcess(settings).run)
