--- a/martenlead/edge/dispatcher.py
+++ b/martenlead/edge/dispatcher.py
@@ -25,7 +25,7 @@
 from martenlead.config.edge import Edge, ns, settings
 from martenlead.edge.border import Border
 from martenlead.edge.protocol import Wanted
-from martenlead.events import cloudevent, http
+from martenlead.events import http
 from martenlead.events.client import Exchange, Pool, Sending, lines
 from martenlead.interface import (
     Action,
@@ -61,9 +61,23 @@
 class Held:
     """A task at the door: what came, and its final answer once there is one."""
 
-    __slots__ = ("answer", "arrived", "body", "done", "final", "headers", "task", "wait", "wanted", "why")
-
-    def __init__(self, wanted: Wanted, arrived: int) -> None:
+    __slots__ = (
+        "answer",
+        "arrived",
+        "body",
+        "done",
+        "final",
+        "first",
+        "headers",
+        "lines",
+        "opening",
+        "task",
+        "wait",
+        "wanted",
+        "why",
+    )
+
+    def __init__(self, wanted: Wanted, arrived: int, headers: http.Headers, body: bytes) -> None:
         self.wanted = wanted
         self.arrived = arrived
         self.task: Task | None = None
@@ -71,13 +85,26 @@
         self.answer: http.Message | None = None
         self.wait = 0
         self.why = ""
-        self.done = anyio.Event()
-        self.headers, self.body = cloudevent.write(wanted.event)
+        self.done: anyio.Event | None = None  # for whoever waits
+        self.headers, self.body = headers, body
+        self.lines: bytes | None = None  # of the event's headers, as every hand-off sends them
+        self.opening = True  # the module is deciding on the first hand-off
+        self.first: tuple[HandOff, Box, anyio.CancelScope] | None = None
 
     def end(self, final: Final) -> None:
-        if self.final is None:
-            self.final = final
+        """The first of its calls counts. Wakes who waits, be it for the end or for the first hand-off."""
+        if self.final is not None:
+            return
+        self.final = final
+        if self.done is not None:
             self.done.set()
+        if self.first is not None:
+            self.first[2].cancel()
+
+    async def ended(self) -> None:
+        while self.final is None:
+            self.done = anyio.Event()
+            await self.done.wait()
 
 
 class Box:
@@ -113,6 +140,7 @@
         self.edge, self.clock = edge, clock
         told, self.offerings, self.customers = settings(edge)
         self.hard = {o.name: ns(o.hard_limit_ms) for o in edge.offerings}
+        self.border_calls_off = told.call_off
         self.tick, self.margin = told.tick, ns(edge.margin_ms)
         seed = edge.seed if edge.seed is not None else int.from_bytes(Random().randbytes(8), "big")
         self.border = Border(told, seed, clock, self._outlet)
@@ -303,9 +331,10 @@
 
     # -- tasks
 
-    def take(self, wanted: Wanted, arrived: int) -> Held:
-        """Makes a task known to the module. The door has checked the names and the limits."""
-        held = Held(wanted, arrived)
+    def take(self, wanted: Wanted, arrived: int, headers: http.Headers, body: bytes) -> Held:
+        """Makes a task known to the module. The door has checked the names and the limits; `headers` and
+        `body` are the event in binary mode, as runners get it."""
+        held = Held(wanted, arrived, headers, body)
         known = self.models.get(wanted.model)
         if known is None:
             mark = int.from_bytes(wanted.model.encode()[:64], "big")
@@ -331,13 +360,20 @@
             wanted.cost,
             note,
         )
+        held.opening = False
         self._rearm()
         return held
 
-    def left(self, held: Held) -> None:
-        """The client has gone: what is out is called off."""
-        held.end(Final.LEFT)
-        self.over(held)
+    async def settle(self, held: Held) -> None:
+        """Waits for the final answer. The first hand-off runs here, in the task of the door: one task less
+        for most that come. Cancelled, the client has left."""
+        try:
+            if held.first is not None:
+                await self._carry(held, *held.first)
+            await held.ended()
+        finally:
+            held.end(Final.LEFT)
+            self.over(held)
 
     def hasten(self) -> None:
         """Every held task gets its answer now."""
@@ -371,7 +407,11 @@
             case HandOff(task=task, runner=runner):
                 held, box, scope = self.held[task], self.by_runner[runner], anyio.CancelScope()
                 self._scopes[action] = scope
-                self._soon(self._carry, held, action, box, scope)
+                if held.opening and self.border_calls_off:
+                    held.first = action, box, scope
+                    held.opening = False
+                else:
+                    self._soon(self._carry, held, action, box, scope)
             case TurnBack(task=task, wait=wait):
                 held = self.held[task]
                 held.wait = wait
@@ -420,14 +460,32 @@
             told = outcomes.Heard(Result.NOT_SENT, why="the time was over before it was sent")
         else:
             scope.deadline = anyio.current_time() + left / 1e9
-            with scope:
-                exchange = await box.pool.exchange(self._request(held, hand_off, number, box, left), sending)
-            if exchange is not None:
-                told = outcomes.heard(exchange)
-            else:
-                told = outcomes.without_answer(called_off=hand_off in self._called_off, wrote=sending.wrote)
+            try:
+                with scope:
+                    exchange = await box.pool.exchange(
+                        self._request(held, hand_off, number, box, left), sending
+                    )
+            except anyio.get_cancelled_exc_class():
+                held.end(Final.LEFT)  # the door's own task: before the module could think of going on
+                raise
+            finally:  # the module is owed one answer all the same
+                if exchange is not None:
+                    told = outcomes.heard(exchange)
+                else:
+                    off = hand_off in self._called_off or self.clock() < hand_off.sent + hand_off.patience
+                    told = outcomes.without_answer(called_off=off, wrote=sending.wrote)
+                self._told(held, hand_off, box, told, exchange)
+            return
+        self._told(held, hand_off, box, told, None)
+
+    def _told(
+        self, held: Held, hand_off: HandOff, box: Box, told: outcomes.Heard, exchange: Exchange | None
+    ) -> None:
+        """The end of a hand-off, to the module and, if it satisfied the task, to the door."""
         self._scopes.pop(hand_off, None)
         self._called_off.discard(hand_off)
+        if held.first is not None and held.first[0] is hand_off:
+            held.first = None  # over: nothing is left there to be ended
         if told.drains:
             self._drains(box)
         if exchange and exchange.message:
@@ -453,13 +511,13 @@
             )
 
     def _request(self, held: Held, hand_off: HandOff, number: int, box: Box, left: int) -> bytes:
-        headers = [pair for pair in held.headers if pair[0] not in RELAYED_ANEW]
-        headers += [
-            (b"ce-timeleftms", b"%d" % (left // 1_000_000)),
-            (b"ce-handoff", b"%d" % number),
-            (b"user-agent", self.agent),
-        ]
-        return http.request(b"POST", b"/", box.host, headers, held.body)
+        if held.lines is None:
+            held.lines = b"".join(b"%b: %b\r\n" % p for p in held.headers if p[0] not in RELAYED_ANEW)
+        return (
+            b"POST / HTTP/1.1\r\nhost: %b\r\nuser-agent: %b\r\n%bce-timeleftms: %d\r\nce-handoff: %d\r\n"
+            b"content-length: %d\r\n\r\n%b"
+            % (box.host, self.agent, held.lines, left // 1_000_000, number, len(held.body), held.body)
+        )
 
     async def _order(self, order: Order) -> None:
         box, known = self.by_runner[order.runner], self.by_model[order.model]
--- a/martenlead/edge/door.py
+++ b/martenlead/edge/door.py
@@ -68,13 +68,13 @@
         if full:
             dispatcher.counts["final", Final.TURNED_BACK.value] += 1
             return problem(503, "Turned back", full, wait_ns=self.wait, final="turned back")
-        held = dispatcher.take(asked, now)
-        try:
-            await held.done.wait()
-        finally:
-            if held.final is None:
-                held.end(Final.LEFT)
-            dispatcher.over(held)
+        if message.header(b"ce-id") is None:
+            headers, body = cloudevent.write(event)
+        else:  # what came in binary mode goes on as it came
+            headers = [p for p in message.headers if p[0][:3] == b"ce-" or p[0] == b"content-type"]
+            body = message.body
+        held = dispatcher.take(asked, now, headers, body)
+        await dispatcher.settle(held)
         return self.answer(held)
 
     def _full(self, model: str, size: int) -> str:
--- a/martenlead/events/client.py
+++ b/martenlead/events/client.py
@@ -52,19 +52,19 @@
 
 
 class _Connection:
-    __slots__ = ("descriptor", "reader", "since", "stream")
+    __slots__ = ("descriptor", "poll", "reader", "since", "stream")
 
     def __init__(self, stream: SocketStream, limits: Limits) -> None:
         self.stream = stream
         self.descriptor: int = stream.extra(SocketAttribute.raw_socket).fileno()
         self.reader = Reader(limits, requests=False)
         self.since = 0
+        self.poll = select.poll()
+        self.poll.register(self.descriptor, select.POLLIN | select.POLLHUP | select.POLLERR)
 
     def stale(self) -> bool:
         """Anything to read on an idle connection is its end, or bytes that answer nothing."""
-        poll = select.poll()
-        poll.register(self.descriptor, select.POLLIN | select.POLLHUP | select.POLLERR)
-        return bool(poll.poll(0))
+        return bool(self.poll.poll(0))
 
     def stray(self) -> bool:
         """Whether what came on a stale connection are bytes, and not only its end."""
--- a/martenlead/events/cloudevent.py
+++ b/martenlead/events/cloudevent.py
@@ -10,6 +10,7 @@
 from base64 import b64decode, b64encode
 from dataclasses import dataclass
 from datetime import datetime
+from functools import lru_cache
 from typing import Any
 
 import msgspec
@@ -120,6 +121,17 @@
     return (raw or b"").split(b";")[0].strip().lower()
 
 
+@lru_cache(4096)
+def _attribute(name: bytes) -> str:
+    """The attribute that a ce- header names; the same few come with every event."""
+    key = name[3:].decode("latin-1")
+    if not NAME.match(key):
+        raise BadEvent(key, "attribute names are lower-case letters and digits")
+    if key == "datacontenttype" or key in RESERVED:
+        raise BadEvent(key, "not a header of binary mode")
+    return key
+
+
 def read(headers: Headers, body: bytes) -> Event:
     """The event that a message carries, in binary or structured mode. Raises `BadEvent`."""
     content = None
@@ -139,13 +151,9 @@
     for name, value in headers:
         if not name.startswith(b"ce-"):
             continue
-        key = name[3:].decode("latin-1")
-        if not NAME.match(key):
-            raise BadEvent(key, "attribute names are lower-case letters and digits")
+        key = _attribute(name)
         if key in attributes:
             raise BadEvent(key, "the attribute is told twice")
-        if key == "datacontenttype" or key in RESERVED:
-            raise BadEvent(key, "not a header of binary mode")
         attributes[key] = decode_value(value, key)
     if not attributes:
         raise BadEvent("specversion", "no event: neither ce- headers nor application/cloudevents+json", 415)
--- a/martenlead/events/http.py
+++ b/martenlead/events/http.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -18,6 +19,9 @@
 METHODS_WITHOUT_BODY = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
 
 
+CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+
+
 class BadMessage(Exception):
     """The bytes are no message that may be acted on.
 
@@ -123,7 +127,7 @@
             self._stop(
                 BadMessage(431, f"the header is over {self.limits.head} bytes or {self.limits.headers} lines")
             )
-        if any((byte < 32 and byte != 9) or byte == 127 for byte in value):
+        if CONTROL.search(value):
             self._stop(BadMessage(400, f"header {name.decode('latin-1')} holds a control byte"))
 
     def on_headers_complete(self) -> None:
--- a/martenlead/events/server.py
+++ b/martenlead/events/server.py
@@ -74,18 +74,37 @@
         """Until `drain`: then no connection is taken, idle ones end, and those with requests end when
         answered."""
         async with anyio.create_task_group() as group:
-            accepting = anyio.CancelScope()
+            accepting, sweeping = anyio.CancelScope(), anyio.CancelScope()
 
             async def accept_until_stopped() -> None:
                 with accepting, suppress(anyio.ClosedResourceError):
                     await listener.serve(self._connected, group)
 
+            async def sweep() -> None:
+                with sweeping:
+                    await self._sweep()
+
             group.start_soon(accept_until_stopped)
+            group.start_soon(sweep)
             await self._stop.wait()
             accepting.cancel()
             await listener.aclose()
             for connection in list(self.connections):
                 connection.wind_up()
+            while self.connections:
+                await anyio.sleep(0.01)
+            sweeping.cancel()
+
+    async def _sweep(self) -> None:
+        """Ends what takes too long. One look at all connections now and then costs less than a timer for each
+        read and write; a time-out may come late by a quarter."""
+        limits = self.limits
+        every = min(limits.idle, limits.slow, limits.write) / 4e9
+        while True:
+            await anyio.sleep(min(max(every, 0.01), 1.0))
+            now = monotonic_ns()
+            for connection in list(self.connections):
+                connection.look(now)
 
     def drain(self) -> None:
         self.draining = True
@@ -107,34 +126,64 @@
 
 
 class Connection:
+    """One client's. `group` holds a worker for the request at hand, and one more task for each pipelined
+    one."""
+
     def __init__(self, server: Server, stream: SocketStream) -> None:
         self.server, self.stream = server, stream
         self.limits = server.limits
         self.reader = Reader(self.limits.message, requests=True)
         self.slots: deque[_Slot] = deque()
-        self.writing = False
+        self.writing = 0  # since when
+        self.read = monotonic_ns()  # when there was last something, or the message at hand had begun
         self.scope = anyio.CancelScope()
         self.reading = anyio.CancelScope()
+        self.slow = False
         self.flushed = anyio.Event()
         self.last = False  # nothing more is read
+        self._job: tuple[Message, int, _Slot] | None = None
+        self._ready = anyio.Event()
+        self._idle = False
 
     def wind_up(self) -> None:
         if not self.slots and not self.reader.in_message:
             self.scope.cancel()
 
+    def look(self, now: int) -> None:
+        """The sweeper's: ends the connection of a peer that does not read, send on or ask again."""
+        if self.writing:
+            if now - self.writing > self.limits.write:
+                self.scope.cancel()
+        elif self.reader.in_message:
+            if now - self.read > self.limits.slow:
+                self.slow = True
+                self.reading.cancel()
+        elif not self.slots and now - self.read > self.limits.idle:
+            self.scope.cancel()
+
     async def run(self) -> None:
         try:
             with self.scope:
                 async with anyio.create_task_group() as group:
+                    bad = None
                     try:
-                        bad = await self._read(group)
+                        with self.reading:
+                            bad = await self._read(group)
                     except (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream):
                         group.cancel_scope.cancel()
                         return
+                    if self.slow:
+                        bad = BadMessage(408, "the message took too long to arrive")
                     if bad is not None:
                         slot = _Slot(True)
                         self.slots.append(slot)
                         await self._put(slot, self.server.bad(bad.status, bad.detail))
+                    while self.slots:  # a last request is out: a peer that leaves is still to be noticed
+                        try:
+                            await self.stream.receive()
+                        except (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream):
+                            break
+                    group.cancel_scope.cancel()
                 if self.last:
                     await self._linger()
         finally:
@@ -142,48 +191,53 @@
 
     async def _read(self, group: anyio.abc.TaskGroup) -> BadMessage | None:
         """Reads and begins requests until the last one; returns what made the bytes unreadable."""
-        begun = 0
+        reader, slots = self.reader, self.slots
+        group.start_soon(self._work)
         while not self.last:
-            waiting = self.reader.in_message
-            limit = self.limits.slow - (monotonic_ns() - begun) if waiting else self.limits.idle
-            with anyio.move_on_after(max(0, limit) / 1e9) as scope:
-                data = await self.stream.receive()
-            if scope.cancelled_caught:
-                if not waiting and self.slots:
-                    continue  # idle only as far as the peer waits for us
-                if waiting:
-                    self.last = True
-                    return BadMessage(408, "the message took too long to arrive")
-                raise anyio.EndOfStream
+            waiting = reader.in_message
+            data = await self.stream.receive()
             now = monotonic_ns()
             if not waiting:
-                begun = now
+                self.read = now
             bad = None
             try:
-                messages = self.reader.feed(data)
+                messages = reader.feed(data)
             except BadMessage as error:
-                bad, messages = error, self.reader.done
+                bad, messages = error, reader.done
             for message in messages:
                 self.last = self.last or not message.keep_alive
                 slot = _Slot(self.last)
-                self.slots.append(slot)
-                group.start_soon(self._answer, message, now, slot)
+                slots.append(slot)
+                if self._idle:
+                    self._idle = False
+                    self._job = message, now, slot
+                    self._ready.set()
+                else:
+                    group.start_soon(self._answer, message, now, slot)
                 if self.last:
                     break
             if bad is not None:
                 self.last = True
                 return bad
-            if self.reader.continues and not self.slots:
-                self.reader.continues = False
+            if reader.continues and not slots:
+                reader.continues = False
                 await self.stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
-            while len(self.slots) >= self.limits.pipelined and not self.last:
+            while len(slots) >= self.limits.pipelined and not self.last:
                 self.flushed = anyio.Event()
                 await self.flushed.wait()
-        while self.slots:  # a last request is out: a peer that leaves is still to be noticed
-            if not await self.stream.receive():
-                break
         return None
 
+    async def _work(self) -> None:
+        """Answers one request after the other: most connections have one at a time, and need no task for
+        each."""
+        while True:
+            self._idle = True
+            await self._ready.wait()
+            self._ready = anyio.Event()
+            assert self._job is not None
+            message, now, slot = self._job
+            await self._answer(message, now, slot)
+
     async def _answer(self, message: Message, now: int, slot: _Slot) -> None:
         try:
             reply = await self.server.handler(message, now)
@@ -195,13 +249,13 @@
         slot.reply = reply
         if self.writing:
             return
-        self.writing = True
+        self.writing = monotonic_ns()
         try:
             while self.slots and (first := self.slots[0]).reply is not None:
                 close = first.close or first.reply.close or self.server.draining
                 try:
                     await self.write(first.reply, close)
-                except (anyio.BrokenResourceError, anyio.ClosedResourceError, TimeoutError):
+                except (anyio.BrokenResourceError, anyio.ClosedResourceError):
                     self.scope.cancel()
                     return
                 self.slots.popleft()
@@ -212,40 +266,36 @@
                     self.scope.cancel()
                     return
         finally:
-            self.writing = False
+            self.writing = 0
+            self.read = monotonic_ns()
 
     async def write(self, reply: Reply, close: bool) -> None:
         headers = reply.headers
         if isinstance(reply.body, bytes):
             if close:
                 headers = [*headers, (b"connection", b"close")]
-            with anyio.fail_after(self.limits.write / 1e9):
-                await self.stream.send(response(reply.status, headers, reply.body))
+            await self.stream.send(response(reply.status, headers, reply.body))
             return
-        head = response(reply.status, [*headers, (b"transfer-encoding", b"chunked")], None)
-        with anyio.fail_after(self.limits.write / 1e9):
-            await self.stream.send(head)
+        await self.stream.send(response(reply.status, [*headers, (b"transfer-encoding", b"chunked")], None))
         async for part in reply.body:
-            with anyio.fail_after(self.limits.write / 1e9):
-                await self.stream.send(chunk(part))
-        with anyio.fail_after(self.limits.write / 1e9):
-            await self.stream.send(chunk(b""))
+            self.writing = monotonic_ns()
+            await self.stream.send(chunk(part))
+            self.writing = 1 << 62  # between two parts nobody is to blame
+        await self.stream.send(chunk(b""))
 
     async def _linger(self) -> None:
         """Bytes left unread would make the kernel reset the connection and drop the answer with it."""
-        with anyio.move_on_after(0.25):
-            try:
-                await self.stream.send_eof()
-                left = 1 << 20
-                while left > 0:
-                    left -= len(await self.stream.receive())
-            except (
-                anyio.EndOfStream,
-                anyio.BrokenResourceError,
-                anyio.ClosedResourceError,
-                anyio.BusyResourceError,
-            ):
-                return
+        gone = (
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            anyio.BusyResourceError,
+        )
+        with anyio.move_on_after(0.25), suppress(*gone):
+            await self.stream.send_eof()
+            left = 1 << 20
+            while left > 0:
+                left -= len(await self.stream.receive())
 
 
 async def listen(host: str, port: int) -> tuple[SocketListener, int]:
