--- a/benchmarks/speed.py
+++ b/benchmarks/speed.py
@@ -164,7 +164,9 @@
                     group.start_soon(one)
 
     anyio.run(all_of_it, backend_options=UVLOOP)
-    print(json.dumps({"statuses": statuses, "lags": lags}))
+    lags.sort()  # evenly spaced ones of many: the quantiles stay, and the line fits a pipe
+    kept = [round(lag, 3) for lag in lags[:: max(1, len(lags) // 4000)]]
+    print(json.dumps({"statuses": statuses, "lags": kept}))
 
 
 def start(*args: Any) -> subprocess.Popen[str]:
--- a/martenlead/days/script.py
+++ b/martenlead/days/script.py
@@ -66,6 +66,7 @@
     patience: tuple[float, float] = (0.5, 1.0)
     honours: Share = 0.8
     structured: Share = 0.2
+    expiry: bool = True
 
 
 class Vault(Part, frozen=True, kw_only=True):
--- a/martenlead/standins/client.py
+++ b/martenlead/standins/client.py
@@ -4,7 +4,9 @@
 from __future__ import annotations
 
 import itertools
+import time
 from dataclasses import dataclass
+from datetime import UTC, datetime
 from random import Random
 from time import monotonic_ns
 from typing import Any
@@ -141,6 +143,9 @@
             b'{"borrower":1}',
             "application/json",
         )
+        if settings.expiry:  # also covers what passes before the edge reads it
+            left = (give_up - monotonic_ns()) / 1e9
+            event.attributes["expirytime"] = datetime.fromtimestamp(time.time() + left, UTC).isoformat()
         if call.customer:
             event.attributes["customer"] = call.customer
         if call.again:
--- a/martenlead/standins/settings.py
+++ b/martenlead/standins/settings.py
@@ -141,4 +141,5 @@
     honours: float = 0.8
     slack_ms: float = 40
     structured: float = 0.2
+    expiry: bool = True  # the absolute time beside the relative one
     faults: list[Fault] = []
