--- /dev/null
+++ b/tests/test_cloudevent.py
@@ -0,0 +1,168 @@
+"""The event codec against its specification: both modes, both directions."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from martenlead.events.cloudevent import (
+    BadEvent,
+    Event,
+    decode_value,
+    encode_value,
+    parse_time,
+    read,
+    write,
+    write_json,
+)
+from martenlead.events.http import BadMessage, Limits, Reader, chunk, request, response
+
+TEXT = st.text(st.characters(exclude_categories=["Cs", "Cc"]), min_size=1)
+NAMES = st.from_regex(r"[a-z0-9]{1,20}", fullmatch=True).filter(
+    lambda n: (
+        n not in ("specversion", "id", "source", "type", "time", "subject", "dataschema", "data")
+        and n != "datacontenttype"
+    )
+)
+VALUES = TEXT | st.booleans() | st.integers(-(2**31), 2**31 - 1)
+EVENTS = st.builds(
+    lambda i, s, t, more, data, kind: Event(
+        {"specversion": "1.0", "id": i, "source": s, "type": t, **more},
+        data,
+        kind if data is not None else None,
+    ),
+    TEXT,
+    TEXT,
+    TEXT,
+    st.dictionaries(NAMES, VALUES, max_size=5),
+    st.none() | st.binary(max_size=50),
+    st.sampled_from(["application/octet-stream", "text/plain; charset=utf-8"]),
+)
+
+
+@given(EVENTS)
+def test_binary_mode_there_and_back(event: Event) -> None:
+    headers, body = write(event)
+    back = read(headers, body)
+    assert back.attributes == {name: event.text(name) for name in event.attributes}
+    assert (back.data, back.content_type) == (event.data, event.content_type)
+
+
+@given(EVENTS)
+def test_structured_mode_there_and_back_keeps_types(event: Event) -> None:
+    back = read([(b"content-type", b"application/cloudevents+json; charset=utf-8")], write_json(event))
+    assert back == event
+
+
+@given(st.text(st.characters(exclude_categories=["Cs"])))
+def test_header_values_are_printable_ascii_and_come_back(text: str) -> None:
+    raw = encode_value(text)
+    assert all(0x21 <= byte <= 0x7E for byte in raw)
+    assert decode_value(raw, "x") == text
+
+
+@given(st.binary(max_size=200))
+def test_no_bytes_reach_a_traceback(data: bytes) -> None:
+    for headers in (
+        [(b"content-type", b"application/cloudevents+json")],
+        [(b"ce-id", data), (b"ce-specversion", b"1.0")],
+        [(b"ce-" + data, b"x")],
+    ):
+        try:
+            read(headers, data)
+        except BadEvent as error:
+            assert error.attribute is not None
+
+
+def structured(**members: object) -> Event:
+    base = {"specversion": "1.0", "id": "1", "source": "/s", "type": "t"}
+    return read([(b"content-type", b"application/cloudevents+json")], json.dumps(base | members).encode())
+
+
+def test_data_in_the_json_format() -> None:
+    assert structured().data is None
+    assert structured(data={"a": 1}).data == b'{"a": 1}'
+    assert structured(data={"a": 1}).content_type == "application/json"
+    assert structured(data="<x/>", datacontenttype="application/xml").data == b"<x/>"
+    assert structured(data_base64="AAE=").data == b"\x00\x01"
+    assert structured(data=None).data == b"null"
+    assert structured(subject=None).text("subject") is None
+
+
+@pytest.mark.parametrize(
+    ("members", "attribute"),
+    [
+        ({"id": ""}, "id"),
+        ({"source": None}, "source"),
+        ({"time": "yesterday"}, "time"),
+        ({"big": 2**31}, "big"),
+        ({"part": 1.5}, "part"),
+        ({"list": []}, "list"),
+        ({"Upper": "x"}, "Upper"),
+        ({"data": 1, "data_base64": ""}, "data"),
+        ({"data_base64": "***"}, "data_base64"),
+        ({"datacontenttype": 5}, "datacontenttype"),
+    ],
+)
+def test_what_the_json_format_forbids(members: dict[str, object], attribute: str) -> None:
+    with pytest.raises(BadEvent) as caught:
+        structured(**members)
+    assert caught.value.attribute == attribute
+
+
+def test_quoted_and_doubly_encoded_header_values() -> None:
+    assert decode_value(b'"a \\"b\\" %E2%82%AC"', "x") == 'a "b" €'
+    assert decode_value(b"%2520", "x") == "%20"
+    for bad in (b"%", b"%f", b"%zz", b"%ff", b'"open'):
+        with pytest.raises(BadEvent):
+            decode_value(bad, "x")
+
+
+def test_absent_and_empty_data_differ() -> None:
+    base = [(b"ce-specversion", b"1.0"), (b"ce-id", b"1"), (b"ce-source", b"/s"), (b"ce-type", b"t")]
+    assert read(base, b"").data is None
+    assert read([*base, (b"content-type", b"text/plain")], b"").data == b""
+
+
+def test_times_are_rfc_3339() -> None:
+    assert parse_time("2026-01-01T00:00:00.5Z") == parse_time("2026-01-01T01:00:00.5+01:00")
+    for bad in ("2026-01-01", "2026-01-01 00:00:00Z", "2026-13-01T00:00:00Z", "x"):
+        with pytest.raises(BadEvent):
+            parse_time(bad)
+
+
+@given(st.binary(max_size=300), st.lists(st.integers(1, 40), max_size=20), st.booleans())
+def test_a_message_cut_anywhere_is_the_same_message(body: bytes, cuts: list[int], chunked: bool) -> None:
+    if chunked:
+        parts = b"".join(chunk(body[n : n + 7]) for n in range(0, len(body), 7)) + chunk(b"")
+        data = b"POST /x HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n" + parts
+    else:
+        data = request(b"POST", b"/x", b"h", [(b"a", b"b")], body)
+    data += request(b"GET", b"/y", b"h", [])
+    reader = Reader(Limits(), requests=True)
+    found, at = [], 0
+    for step in [*cuts, len(data)]:
+        found += reader.feed(data[at : at + step])
+        at += step
+    assert [(m.target, m.body) for m in found] == [(b"/x", body), (b"/y", b"")]
+
+
+@given(st.binary(max_size=400))
+def test_any_bytes_are_messages_or_one_bad_message(data: bytes) -> None:
+    for requests in (True, False):
+        reader = Reader(Limits(head=100, body=100), requests=requests)
+        try:
+            reader.feed(data)
+        except BadMessage as error:
+            assert 400 <= error.status < 600
+            with pytest.raises(BadMessage):
+                reader.feed(b"x")
+
+
+def test_interim_answers_are_passed_over() -> None:
+    reader = Reader(Limits(), requests=False)
+    found = reader.feed(b"HTTP/1.1 100 Continue\r\n\r\n" + response(200, [], b"x"))
+    assert [(m.status, m.body) for m in found] == [(200, b"x")]
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,83 @@
+"""Settings: what is wrong is told in one line with file, path and what was expected."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from martenlead.cli.main import commands
+from martenlead.config.edge import Edge, read, settings
+from martenlead.config.load import BadConfig, load, schema
+from martenlead.days.script import Day, plan
+
+ROOT = Path(__file__).parent.parent
+GOOD = "{ roster: { port: 1 }, offerings: [(import 'shapes.libsonnet').offering('x', 500, 2000)] }"
+
+
+def write(tmp_path: Path, text: str) -> Path:
+    path = tmp_path / "edge.jsonnet"
+    path.write_text(text)
+    return path
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("{ roster: }", "{path}: "),
+        ("{}", "{path}: $: Object missing required field `roster`"),
+        (GOOD + "+ { rooster: 1 }", "{path}: $: Object contains unknown field `rooster`"),
+        (GOOD + "+ { tick_ms: 'fast' }", "{path}: $.tick_ms: Expected `float`, got `str`"),
+        (GOOD + "+ { offerings: [] }", "{path}: $.offerings: Expected `array` of length >= 1"),
+        (GOOD + "+ { offerings+: super.offerings }", "{path}: $.offerings[1].name: 'x' stands there twice"),
+        (
+            "{ roster: { port: 1 }, offerings: [{ name: 'x', soft_limit_ms: 9, hard_limit_ms: 5, "
+            "effect: 'idempotent' }] }",
+            "{path}: $.offerings[0].hard_limit_ms: at least soft_limit_ms was expected",
+        ),
+        (
+            "{ roster: { port: 1 }, offerings: [{ name: 'x', soft_limit_ms: 1, hard_limit_ms: 5, "
+            "effect: 'deduplicated' }] }",
+            "{path}: $.offerings[0].window_ms: a deduplicated offering needs",
+        ),
+        ("import 'nothing.libsonnet'", "{path}: "),
+    ],
+)
+def test_what_is_wrong_is_one_line(tmp_path: Path, text: str, expected: str) -> None:
+    path = write(tmp_path, text)
+    with pytest.raises(BadConfig) as caught:
+        read(path)
+    assert str(caught.value).startswith(expected.format(path=path))
+    assert "\n" not in str(caught.value)
+
+
+def test_a_good_one_is_checked_shown_and_decoded(tmp_path: Path) -> None:
+    path = write(tmp_path, GOOD)
+    shown = CliRunner().invoke(commands, ["config", "show", str(path)])
+    assert json.loads(shown.output)["limits"]["open_tasks"] == 4000
+    assert CliRunner().invoke(commands, ["config", "check", str(path)]).output == f"{path}: good\n"
+    told, offerings, _ = settings(read(path))
+    assert told.offerings == list(offerings.values())
+    assert told.turn_back_wait == 500_000_000
+
+
+def test_the_schema_names_every_setting() -> None:
+    found = schema(Edge)
+    assert found["$defs"]["Edge"]["properties"].keys() == {f for f in Edge.__struct_fields__}
+
+
+def test_every_script_and_example_can_be_read() -> None:
+    for path in sorted((ROOT / "days").glob("*.jsonnet")):
+        made = plan(load(path, Day), 1)
+        assert plan(load(path, Day), 1) == made
+    for path in sorted((ROOT / "deploy" / "examples").glob("*.jsonnet")):
+        read(path)
+
+
+def test_an_unknown_trouble_is_named(tmp_path: Path) -> None:
+    path = write(tmp_path, "local d = import 'day.libsonnet'; d { troubles: [{ kind: 'storm', at_s: 1 }] }")
+    result = CliRunner().invoke(commands, ["day", str(path)])
+    assert isinstance(result.exception, BadConfig)
+    assert "'storm' is no trouble" in str(result.exception)
--- /dev/null
+++ b/tests/test_days.py
@@ -0,0 +1,87 @@
+"""Whole days and the program's end, with processes of their own: the command line as a user runs it."""
+
+from __future__ import annotations
+
+import json
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import anyio
+import pytest
+
+from martenlead.events import http
+from martenlead.events.client import Pool
+from martenlead.events.cloudevent import Event, write
+from tests.fleet import OFFERINGS, after, fleet, satisfied, silent
+
+pytestmark = pytest.mark.anyio
+DAYS = sorted((Path(__file__).parent / "days").glob("*.jsonnet"))
+
+
+@pytest.mark.parametrize("script", DAYS, ids=lambda path: path.stem)
+async def test_a_short_day_keeps_every_rule(script: Path, tmp_path: Path) -> None:
+    report = tmp_path / "report.json"
+    command = [sys.executable, "-m", "martenlead", "day", str(script), "--report", str(report)]
+    done = await anyio.run_process(command, check=False, stderr=subprocess.STDOUT)
+    assert done.returncode == 0, done.stdout.decode()
+    told = json.loads(report.read_text())
+    assert told["tasks"] > 200
+    assert sum(told["answers"].values()) == told["tasks"]
+    assert told["answers"]["satisfied"] > told["tasks"] / 3
+    for name in ("one_answer", "no_effect_twice", "drains", "cold_runners", "load_ration"):
+        assert told["rules"][name]["checked"] > 0
+        assert told["rules"][name]["breaches"] == 0
+
+
+async def ended(parts: list[object], signals: list[float]) -> tuple[int, int]:
+    """An edge of its own process with one task out; the answer's status and the exit's after the signals."""
+    async with fleet({"a": parts}) as f:  # type: ignore[dict-item]
+        folder = anyio.Path(await anyio.mkdtemp())
+        config = folder / "edge.json"
+        await config.write_text(json.dumps({"roster": {"port": f.roster_port}, "offerings": OFFERINGS}))
+        process = await anyio.open_process(
+            [sys.executable, "-m", "martenlead", "edge", str(config)], stderr=None
+        )
+        assert process.stdout is not None
+        port = json.loads((await process.stdout.receive()).decode())["ready"]["port"]
+        pool = Pool("127.0.0.1", port)
+        event = Event({"specversion": "1.0", "id": "1", "source": "/c", "type": "notice", "model": "m"})
+        headers, body = write(event)
+        status = 0
+
+        async def call() -> None:
+            nonlocal status
+            exchange = await pool.exchange(http.request(b"POST", b"/", b"e", headers, body))
+            status = exchange.message.status if exchange.message else -1
+
+        with anyio.fail_after(20):
+            async with anyio.create_task_group() as group:
+                while not f.arrivals:  # its roster may not have been heard yet: the task is turned back then
+                    group.start_soon(call)
+                    await anyio.sleep(0.1)
+                for wait in signals:
+                    process.send_signal(signal.SIGTERM)
+                    await anyio.sleep(wait)
+            return status, await process.wait()
+
+
+async def test_the_first_signal_lets_held_tasks_end() -> None:
+    assert await ended([after(600, satisfied)], [0.1]) == (200, 0)
+
+
+async def test_the_second_signal_ends_them_at_once_and_scraps_what_may_have_run() -> None:
+    assert await ended([silent], [0.1, 0.1]) == (504, 0)
+
+
+async def test_a_port_in_use_is_one_line_and_an_exit() -> None:
+    async with fleet() as f:
+        folder = anyio.Path(await anyio.mkdtemp())
+        config = folder / "edge.json"
+        settings = {"roster": {"port": 1}, "offerings": OFFERINGS, "listen": {"port": f.port}}
+        await config.write_text(json.dumps(settings))
+        done = await anyio.run_process([sys.executable, "-m", "martenlead", "edge", str(config)], check=False)
+        assert done.returncode == 1
+        assert b"$.listen" in done.stderr
+        assert b"Traceback" not in done.stderr
