A fault costs one task and never the program; a runner that resets at once is unreached

Change: such a connection counts as unreached; exceptions of the module or of ours are told, counted, and no task is held past its time after one; nonsense from the roster makes the edge ask again.

--- a/martenlead/cli/day.py
+++ b/martenlead/cli/day.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -27,6 +28,7 @@
         plan(made, chosen)
     except ValueError as error:
         raise BadConfig(f"{script}: {error}") from None
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))  # its processes end with it
     with tempfile.TemporaryDirectory(prefix="martenlead-day-") as temporary:
         folder = keep or Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
--- a/martenlead/edge/dispatcher.py
+++ b/martenlead/edge/dispatcher.py
@@ -163,6 +163,7 @@
         self._sooner = anyio.Event()
         self._changed = anyio.Event()
         self._until = 0
+        self._guarding = False
         self.emptied = anyio.Event()
         self.listed = anyio.Event()
 
@@ -199,9 +200,31 @@
                     await self._sooner.wait()
             if self._sooner.is_set():
                 self._sooner = anyio.Event()
-            self.border.advance()
+            try:
+                self.border.advance()
+            except Exception as error:
+                self._fault(error)
             await anyio.sleep(0)
 
+    def _fault(self, error: Exception) -> None:
+        """An exception where none should be, of the module or ours: it is told, and costs no other task
+        anything. The task that it left without a wait is ended by `_guard`."""
+        self.log.error("a fault of ours", exc_info=error)
+        self.counts["fault", type(error).__name__] += 1
+        if not self._guarding:
+            self._guarding = True
+            self._soon(self._guard)
+
+    async def _guard(self) -> None:
+        """After a fault: no task is held past its time, whatever became of its generator."""
+        while True:
+            await anyio.sleep(0.005)
+            late = self.clock() + self.tick
+            for task, held in list(self.held.items()):
+                if late > task.give_up and held.final is None:
+                    held.why = "a fault of the dispatcher"
+                    held.end(Final.TURNED_BACK if self.border.may_turn_back(task) else Final.SCRAPPED)
+
     def _rearm(self) -> None:
         due = self.border.due()
         if due is not None and due < self._until:
@@ -252,6 +275,10 @@
             except (http.BadMessage, msgspec.DecodeError) as error:
                 why = str(error)
                 self.list.version = 0
+            except Exception as error:  # a line that makes no sense must not end the program
+                why = "a fault of ours"
+                self._fault(error)
+                self.list.version = 0
             self.counts["roster", "lost"] += 1
             self.log.warning("no roster; the last list stands", why=why, runners=len(self.list.lines))
             await anyio.sleep(wait * (0.5 + self.chance.random()))
@@ -468,6 +495,8 @@
             except anyio.get_cancelled_exc_class():
                 held.end(Final.LEFT)  # the door's own task: before the module could think of going on
                 raise
+            except Exception as error:  # `_told` follows all the same, with what may have run
+                self._fault(error)
             finally:  # the module is owed one answer all the same
                 if exchange is not None:
                     told = outcomes.heard(exchange)
@@ -499,7 +528,10 @@
             held.answer = told.message
             held.end(Final.SATISFIED)
         lag = max(0, self.clock() - hand_off.sent)
-        self.border.answered(Answer(hand_off, told.result, final, told.warmth, lag))
+        try:
+            self.border.answered(Answer(hand_off, told.result, final, told.warmth, lag))
+        except Exception as error:
+            self._fault(error)
         self._rearm()
         if self.edge.log.decisions:
             self.log.info(
@@ -523,14 +555,20 @@
         box, known = self.by_runner[order.runner], self.by_model[order.model]
         data = orders.load(box.host, self.agent, known.name, order.copies, known.memory_mb, known.lanes)
         result, copies, why = Result.SILENT, 0, "no answer"
-        with anyio.move_on_after(self.edge.models.order_limit_ms / 1000):
-            exchange = await box.pool.exchange(data)
-            result, why = outcomes.ordered(exchange)
-            copies = orders.standing(exchange)
-            if exchange.message and exchange.message.header(outcomes.STATE) == b"draining":
-                self._drains(box)
+        try:
+            with anyio.move_on_after(self.edge.models.order_limit_ms / 1000):
+                exchange = await box.pool.exchange(data)
+                result, why = outcomes.ordered(exchange)
+                copies = orders.standing(exchange)
+                if exchange.message and exchange.message.header(outcomes.STATE) == b"draining":
+                    self._drains(box)
+        except Exception as error:
+            self._fault(error)
         self.counts["order", result.value] += 1
-        self.border.ordered(order, result, copies)
+        try:
+            self.border.ordered(order, result, copies)
+        except Exception as error:
+            self._fault(error)
         self._rearm()
         if self.edge.log.decisions:
             self.log.info("order ends", runner=box.line.id, model=known.name, result=result.value, why=why)
--- a/martenlead/events/client.py
+++ b/martenlead/events/client.py
@@ -154,7 +154,11 @@
             self.open -= 1
             raise
         self.opened += 1
-        return _Connection(stream, self.limits)
+        try:
+            return _Connection(stream, self.limits)
+        except (AttributeError, OSError):  # reset while it was being made: the stream has no socket any more
+            await anyio.aclose_forcefully(stream)
+            return Exchange(End.REFUSED, detail="reset as soon as it was made")
 
     async def _exchange(self, connection: _Connection, data: bytes, sending: Sending) -> Exchange:
         stream, reader = connection.stream, connection.reader
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import json
+import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
+from socket import SO_LINGER, SOL_SOCKET
 from typing import Any
 
 import anyio
-from anyio.abc import SocketStream
+from anyio.abc import SocketAttribute, SocketStream
 
 from martenlead.config.edge import Edge, check
 from martenlead.config.load import decode
@@ -85,6 +87,7 @@
         self.listener: Any = None
         self.order: Part = says(200, body=b'{"copies": 1}')
         self.connections = 0
+        self.resets = False  # each connection, as soon as it is made
 
     async def serve(self) -> None:
         self.listener, self.port = await listen("127.0.0.1", self.port)
@@ -93,6 +96,12 @@
 
     async def connected(self, stream: SocketStream) -> None:
         self.connections += 1
+        if self.resets:
+            stream.extra(SocketAttribute.raw_socket).setsockopt(
+                SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            await anyio.aclose_forcefully(stream)
+            return
         reader = Reader(Limits(), requests=True)
         async with stream:
             try:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -293,3 +293,50 @@
         assert statuses == {"portal": 429, "desk": 503}
         status, told = await f.call(customer="nobody")
         assert (status, told["attribute"]) == (400, "customer")
+
+
+async def test_a_fault_in_the_module_costs_one_task_and_leaves_none_unanswered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with fleet({"a": [raw(b"")], "b": [raw(b"")]}) as f:
+
+        def fails(*_: object) -> None:
+            raise ZeroDivisionError
+
+        async def call() -> None:
+            told.append(await f.call("notice", left=300))
+
+        told: list[tuple[int, dict[str, object]]] = []
+        async with anyio.create_task_group() as group:
+            group.start_soon(call)
+            await anyio.sleep(0.05)
+            monkeypatch.setattr(f.dispatcher.border._brain, "may_turn_back", fails)
+            monkeypatch.setattr(f.dispatcher.border, "may_turn_back", lambda _task: False)
+        assert [(status, answer["final"]) for status, answer in told] == [(504, "scrapped")]
+        assert f.dispatcher.counts["fault", "ZeroDivisionError"] == 1
+        monkeypatch.undo()
+        f.runners["a"].parts = f.runners["b"].parts = [satisfied]
+        assert (await f.call("estimate", model="other"))[0] == 200
+
+
+async def test_a_runner_that_resets_each_connection_at_once_is_unreached() -> None:
+    async with fleet() as f:
+        for runner in f.runners.values():
+            runner.resets = True
+        statuses = [(await f.call("estimate", left=500))[0] for _ in range(20)]
+        assert set(statuses) <= {200, 502, 503}
+        assert not any(kind == "fault" for kind, _ in f.dispatcher.counts)
+
+
+async def test_a_roster_that_talks_nonsense_is_left_and_asked_again() -> None:
+    async with fleet() as f:
+        for nonsense in (
+            b"{}\n",
+            b"no JSON\n",
+            b'{"version": 9, "runners": [{"id": "a", "state": "odd"}]}\n',
+        ):
+            for send in f._news:
+                await send.send(nonsense)
+            await anyio.sleep(0.02)
+        assert (await f.call())[0] == 200
+        assert f.dispatcher.counts["roster", "lost"] >= 1
