--- a/benchmarks/speed.py
+++ b/benchmarks/speed.py
@@ -13,6 +13,7 @@
 import subprocess
 import sys
 import tempfile
+import urllib.request
 from pathlib import Path
 from statistics import median
 from time import monotonic_ns, sleep
@@ -234,14 +235,17 @@
     return {"p50": round(lags[len(lags) // 2], 3), "p99": round(lags[int(0.99 * len(lags))], 3)}
 
 
+def ask(admin: dict[str, int], path: str) -> Any:
+    with urllib.request.urlopen(f"http://127.0.0.1:{admin['port']}{path}", timeout=10) as answer:
+        return json.load(answer)
+
+
 def held(folder: Path, count: int) -> dict[str, float]:
     """Memory of tasks that are held, each with its client's connection and one to a runner."""
     slow = start("runner", 1, 60_000)
-    processes, port = start_edge(
-        folder,
-        first_line(slow),
-        limits={"open_tasks": 20_000, "connections": 20_000, "runner_connections": 20_000},
-    )
+    most_of_all = {"open_tasks": 20_000, "connections": 20_000, "runner_connections": 20_000}
+    more = {"admin": {"port": 18_431}, "limits": most_of_all}
+    processes, port = start_edge(folder, first_line(slow), **more)
     pid = processes[1].pid
     before = resident(pid)
     loads = [start("load", port, 12, count // 4, 0, n * 1_000_000) for n in range(4)]
@@ -250,8 +254,10 @@
         sleep(0.5)
         most = max(most, resident(pid))
     sockets = len(os.listdir(f"/proc/{pid}/fd"))
+    state = ask(more["admin"], "/state")
     for process in (*loads, slow, *processes):
         process.kill()
+    count = state["held"]
     return {"held": count, "sockets": sockets, "kb_a_task": round((most - before) * 1024 / count, 1)}
 
 
