--- a/martenlead/edge/dispatcher.py
+++ b/martenlead/edge/dispatcher.py
@@ -233,7 +233,7 @@
 
     async def _pulse(self) -> None:
         """The tick is what the event loop achieves: the worst of the last second, halved as it fades."""
-        least, worst, every = self.tick, 0, 5_000_000
+        least, worst, every = self.tick, 0, 10_000_000
         count = 0
         while True:
             before = self.clock()
@@ -242,10 +242,10 @@
             worst = max(worst, lag)
             self.worst_lag = max(self.worst_lag, lag)
             count += 1
-            if lag > self.tick or count >= 100:
+            if lag > self.tick or count >= 50:
                 self.tick = min(max(least, worst), 100_000_000)
                 self.border.tick(self.tick)
-                if count >= 100:
+                if count >= 50:
                     worst, count = worst // 2, 0
 
     # -- the roster
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import json
 import time
 from pathlib import Path
 
 import anyio
 import pytest
 
+from martenlead.edge.door import Admin
+from martenlead.events.http import Message
 from martenlead.runnerlink import roster
 from tests.fleet import after, draining, fleet, raw, satisfied, says
 
@@ -340,3 +343,57 @@
             await anyio.sleep(0.02)
         assert (await f.call())[0] == 200
         assert f.dispatcher.counts["roster", "lost"] >= 1
+
+
+async def test_all_connections_to_a_runner_busy_is_not_sent_and_harmless() -> None:
+    async with fleet({"a": [after(300, satisfied)]}, limits={"runner_connections": 1}) as f:
+        told: list[tuple[int, dict[str, object]]] = []
+
+        async def call() -> None:
+            told.append(await f.call("notice"))
+
+        async with anyio.create_task_group() as group:
+            for _ in range(3):
+                group.start_soon(call)
+        assert sorted(status for status, _ in told) == [200, 503, 503]
+        assert f.dispatcher.counts["hand-off", "not sent"] >= 2
+        assert len(f.arrivals) == 1
+
+
+async def test_reports_come_with_answers_and_by_probe() -> None:
+    report = (b"martenlead-report", b"busy=0.5,x1=3,odd,=1,y=z")
+    async with fleet({"a": [says(200, report)]}, probes={"every_ms": 20}) as f:
+        f.runners["a"].order = says(200, (b"martenlead-report", b"busy=0.75"), body=b"ready")
+        await f.call()
+        box = f.dispatcher.boxes["a"]
+        assert box.reported["x1"] == 3.0
+        with anyio.fail_after(5):
+            while box.reported["busy"] != 0.75:
+                await anyio.sleep(0.01)
+        assert ("a", "/v2/health/ready") in [(name, target) for _, name, target in f.orders]
+
+
+async def test_state_and_metrics_can_be_read() -> None:
+    async with fleet() as f:
+        await f.call()
+        admin = Admin(f.dispatcher)
+        state = await admin.handle(Message(method=b"GET", target=b"/state"), 0)
+        metrics = await admin.handle(Message(method=b"GET", target=b"/metrics"), 0)
+        assert json.loads(bytes(state.body))["counts"]["final/satisfied"] == 1  # type: ignore[arg-type]
+        assert b'martenlead_total{kind="hand-off",name="satisfied"} 1.0' in bytes(metrics.body)  # type: ignore[arg-type]
+        assert (await admin.handle(Message(method=b"GET", target=b"/x"), 0)).status == 404
+
+
+async def test_a_line_a_decision_on_request(capsys: pytest.CaptureFixture[str]) -> None:
+    for on in (False, True):
+        async with fleet({"a": [satisfied]}, log={"decisions": on}) as f:
+            await f.call(ident="seen")
+        lines = [line for line in capsys.readouterr().out.splitlines() if "seen" in line]
+        assert [" ".join(line.split()[2:]) for line in lines] == (
+            [
+                "[info ] decides edge=edge runner=a task=seen what=HandOff",
+                "[info ] hears edge=edge result=satisfied runner=a task=seen why=",
+            ]
+            if on
+            else []
+        )
