Captures: what a dispatcher was told and decided, on disk, and its replay

Need: why tasks were scrapped could not be told after a mass restart. Change: a tape at the border, segments of checked and compressed frames written by a thread, gaps where events are missing, replay that compares each decision, what-ifs, the story of a task with what was known of each runner.

--- /dev/null
+++ b/martenlead/capture/events.py
@@ -0,0 +1,226 @@
+"""What crosses the module's border, as it is written down: one structure for each call, and for each
+decision.
+
+Inputs carry `t`, the time (monotonic ns) at which the module was told. A decision carries none: it is made in
+the course of the input before it. Objects are numbered in the order in which they came; names stand where a
+number is given out. docs/format-capture.md has every field.
+"""
+
+from __future__ import annotations
+
+from dataclasses import fields
+from typing import Any
+
+import msgspec
+
+from martenlead.interface import (
+    Customer,
+    Effect,
+    Group,
+    ModelFacts,
+    Offering,
+    RunnerFacts,
+    Settings,
+    State,
+)
+
+
+class Event(msgspec.Struct, array_like=True, tag_field="k", frozen=True):
+    """Anything that is written down."""
+
+
+class Input(Event, frozen=True):
+    t: int
+
+
+class Facts(msgspec.Struct, array_like=True, frozen=True):
+    """`RunnerFacts`; the mark in hexadecimal, since it may be longer than an integer of the format."""
+
+    mark: str
+    zone: str
+    cell: int
+    memory: float
+    weight: float
+    state: str
+    since: int
+
+
+class Start(Input, frozen=True, tag=0):
+    wall: float  # s since 1970, of the same moment
+    edge: str
+    module: str  # hash of the decision module's text
+    program: str
+    python: str
+    seed: int
+    settings: dict[str, Any]
+    offerings: list[str]
+    customers: list[tuple[str, float]]  # name, quota
+
+
+class Begin(Input, frozen=True, tag=1):
+    pass
+
+
+class Tick(Input, frozen=True, tag=2):
+    tick: int
+
+
+class NewRunner(Input, frozen=True, tag=3):
+    runner: int
+    name: str
+    facts: Facts
+
+
+class NewModel(Input, frozen=True, tag=4):
+    model: int
+    name: str
+    mark: str
+    lanes: int
+    memory: float
+
+
+class Roster(Input, frozen=True, tag=5):
+    whole: bool
+    lines: list[tuple[int, Facts]]
+
+
+class Take(Input, frozen=True, tag=6):
+    task: int
+    name: str
+    model: int
+    offering: int
+    customer: int  # -1: none
+    give_up: int
+    again: bool
+    cost: float
+
+
+class Answered(Input, frozen=True, tag=7):
+    task: int
+    hand_off: int
+    result: str
+    final: bool
+    warmth: str
+    lag: int
+
+
+class OrderEnded(Input, frozen=True, tag=8):
+    order: int
+    result: str
+    copies: int
+
+
+class Closed(Input, frozen=True, tag=9):
+    task: int
+    final: str
+
+
+class Advance(Input, frozen=True, tag=10):
+    pass
+
+
+class Gap(Input, frozen=True, tag=11):
+    """`dropped` events are missing between `t` and `until`: nothing behind it can be replayed."""
+
+    until: int
+    dropped: int
+    why: str
+
+
+class HandedOff(Event, frozen=True, tag=32):
+    task: int
+    hand_off: int
+    runner: int
+    patience: int
+
+
+class TurnedBack(Event, frozen=True, tag=33):
+    task: int
+    wait: int
+
+
+class Scrapped(Event, frozen=True, tag=34):
+    task: int
+
+
+class CalledOff(Event, frozen=True, tag=35):
+    task: int
+    hand_off: int
+
+
+class Ordered(Event, frozen=True, tag=36):
+    order: int
+    runner: int
+    model: int
+    copies: int
+
+
+class Asked(Event, frozen=True, tag=37):
+    pass
+
+
+Any_ = (
+    Start
+    | Begin
+    | Tick
+    | NewRunner
+    | NewModel
+    | Roster
+    | Take
+    | Answered
+    | OrderEnded
+    | Closed
+    | Advance
+    | Gap
+    | HandedOff
+    | TurnedBack
+    | Scrapped
+    | CalledOff
+    | Ordered
+    | Asked
+)
+DECISIONS = (HandedOff, TurnedBack, Scrapped, CalledOff, Ordered, Asked)
+encode = msgspec.msgpack.Encoder().encode
+decode = msgspec.msgpack.Decoder(list[Any_]).decode
+
+
+def task_of(event: Event) -> int | None:
+    return getattr(event, "task", None)
+
+
+def pack_facts(facts: RunnerFacts) -> Facts:
+    return Facts(
+        f"{facts.mark:x}",
+        facts.zone,
+        facts.cell,
+        facts.memory,
+        facts.weight,
+        facts.state.value,
+        facts.since,
+    )
+
+
+def facts_of(packed: Facts) -> RunnerFacts:
+    p = packed
+    return RunnerFacts(int(p.mark, 16), p.zone, p.cell, p.memory, p.weight, State(p.state), p.since)
+
+
+def model_facts(event: NewModel) -> ModelFacts:
+    return ModelFacts(int(event.mark, 16), event.lanes, event.memory)
+
+
+def pack_settings(settings: Settings) -> dict[str, Any]:
+    """All fields; offerings as lists of theirs, infinity as text, since not every format has it."""
+    told = {f.name: getattr(settings, f.name) for f in fields(settings)}
+    told["offerings"] = [[o.soft_limit, o.effect.value, o.group.value, o.window] for o in settings.offerings]
+    told["quota"] = str(settings.quota)
+    return told
+
+
+def settings_of(told: dict[str, Any]) -> Settings:
+    offerings = [Offering(soft, Effect(kind), Group(group), w) for soft, kind, group, w in told["offerings"]]
+    return Settings(**{**told, "offerings": offerings, "quota": float(told["quota"])})
+
+
+def customers_of(start: Start) -> list[Customer]:
+    return [Customer(quota) for _, quota in start.customers]
--- /dev/null
+++ b/martenlead/capture/explain.py
@@ -0,0 +1,192 @@
+"""The story of a task, and why tasks were not satisfied: read from a replay, so that the module logs
+nothing."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from martenlead.capture import events as ev
+from martenlead.capture.replay import Replayer, Unreplayable
+from martenlead.interface import Task
+
+MS = 1_000_000
+
+
+def explain_task(events: Iterable[ev.Event], wanted: str) -> list[str]:
+    """Lines on all tries of one task: what came, each decision, what was known of each runner just then.
+
+    `wanted` is the event's id, its source and id with a blank between, or the task's number in the capture.
+    What is said of runners is the module's own state right behind the decision, with the hand-off counted in.
+    """
+    replayer, lines = Replayer(), list[str]()
+    begun = 0
+    numbers: set[int] = set()
+
+    def say(text: str) -> None:
+        lines.append(f"{(replayer.brain.now - begun) / MS:12.3f} ms  {text}")
+
+    mine: set[Task] = set()
+
+    def listen() -> None:
+        place = replayer.brain.place
+
+        def told(task: Task, but: set[Any]) -> Any:
+            if task in mine:
+                lines.extend(f"{'':17}{line}" for line in _known(replayer, task))
+            return place(task, but)
+
+        replayer.brain.place = told  # type: ignore[method-assign]
+
+    for event in events:
+        if isinstance(event, ev.Start):
+            begun = event.t
+        if isinstance(event, ev.Take) and wanted in _names(event):
+            numbers.add(event.task)
+        number = ev.task_of(event)
+        if isinstance(event, ev.Input):
+            if number in numbers:
+                replayer.brain.now = event.t
+                say(_said(replayer, event))
+            try:
+                if isinstance(event, ev.Take) and event.task in numbers:
+                    _feed_and_mark(replayer, event, mine)
+                else:
+                    replayer.feed(event)
+                if isinstance(event, ev.Start):
+                    listen()
+            except Unreplayable as error:
+                lines.append(f"(nothing further: {error})")
+                return lines
+            replayer.made.clear()
+        elif number in numbers:
+            say(_said(replayer, event))
+    return lines
+
+
+def _names(event: ev.Take) -> tuple[str, str, str]:
+    return event.name, event.name.rpartition(" ")[2], str(event.task)
+
+
+def _feed_and_mark(replayer: Replayer, event: ev.Take, mine: set[Task]) -> None:
+    """The module decides while it takes the task: it has to be known as ours before that."""
+    number = event.task
+
+    class Marking(dict[int, Task]):
+        def __setitem__(self, key: int, task: Task) -> None:
+            if key == number:
+                mine.add(task)
+            super().__setitem__(key, task)
+
+    replayer.tasks, old = Marking(replayer.tasks), replayer.tasks
+    replayer.feed(event)
+    old.update(replayer.tasks)
+    replayer.tasks = old
+
+
+def _said(replayer: Replayer, event: ev.Event) -> str:
+    def runner(number: int) -> str:
+        return replayer.names[replayer.runners[number]]
+
+    match event:
+        case ev.Take(name=name, give_up=give_up, again=again):
+            left = (give_up - event.t) / MS
+            start = replayer.start
+            offering = start.offerings[event.offering] if start else "?"
+            model = replayer.names[replayer.models[event.model]]
+            return f"task {event.task} ({name}): {offering}, {model}, {left:.1f} ms left{', again' * again}"
+        case ev.HandedOff(hand_off=n, runner=number, patience=patience):
+            return f"hand-off {n} to {runner(number)}, for {patience / MS:.1f} ms at most"
+        case ev.Answered(hand_off=n, result=result, warmth=warmth, lag=lag):
+            return f"hand-off {n} ended after {lag / MS:.1f} ms: {result}, copy {warmth}"
+        case ev.TurnedBack(wait=wait):
+            return f"turned back, to come again after {wait / MS:.0f} ms"
+        case ev.Scrapped():
+            return "scrapped"
+        case ev.CalledOff(hand_off=n):
+            return f"hand-off {n} is called off"
+        case ev.Closed(final=final):
+            return f"over: {final or 'no answer'}"
+    return type(event).__name__
+
+
+def _known(replayer: Replayer, task: Task) -> list[str]:
+    """A line a runner, with every reason why it may not take the task now."""
+    brain, lines = replayer.brain, []
+    for runner in brain.runners:
+        copy = task.model.copies.get(runner)
+        why = []
+        if not brain.may_go(runner):
+            why.append(runner.facts.state.value)
+        elif brain.quiet(runner):
+            why.append("quiet")
+        if brain.cold(runner):
+            why.append("cold")
+        if runner.next > brain.now:
+            why.append("its next task is not due")
+        if runner.running >= max(1.0, runner.width):
+            why.append("full")
+        if task.hand_offs and runner.credit < 1:
+            why.append("no credit")
+        if not brain.may_repeat(task, runner):
+            why.append("a repeat may not go there")
+        held = ""
+        if copy is not None:
+            held = "held" if copy.held else "stands" if brain.warm(copy) else "loads" if copy.ordered else ""
+        home = ", home" * (task.model.home is runner)
+        lines.append(
+            f"{replayer.names[runner]}: copy {held or 'none'}{home}; {runner.running} running of "
+            f"{runner.width:.1f}, pace {brain.pace(runner):.2f}, credit {runner.credit:.1f}"
+            f"{'; ' + ', '.join(why) if why else ''}"
+        )
+    return lines
+
+
+@dataclass
+class Books:
+    """What became of the tasks of some runs. A task without an end was held when its dispatcher died."""
+
+    tasks: int = 0
+    finals: Counter[str] = field(default_factory=Counter)
+    causes: Counter[tuple[str, str]] = field(default_factory=Counter)
+    names: dict[tuple[str, str], list[str]] = field(default_factory=lambda: defaultdict(list))
+
+    def table(self) -> list[str]:
+        finals = ", ".join(f"{n} {name}" for name, n in sorted(self.finals.items()))
+        lines = [f"tasks {self.tasks}: {finals}"]
+        for (final, cause), n in self.causes.most_common():
+            some = ", ".join(self.names[final, cause][:3])
+            lines.append(f"{n:7} {final}: {cause} ({some})")
+        return lines
+
+
+def books(events: Iterable[ev.Event], into: Books | None = None) -> Books:
+    """Groups what was not satisfied by its final answer and the ends of its hand-offs, in order."""
+    told = into or Books()
+    open_: dict[int, tuple[str, list[str]]] = {}
+    for event in events:
+        match event:
+            case ev.Take(task=task, name=name):
+                told.tasks += 1
+                open_[task] = name, []
+            case ev.Answered(task=task, hand_off=at, result=result) if task in open_:
+                results = open_[task][1]
+                results[at] = result
+            case ev.HandedOff(task=task) if task in open_:
+                open_[task][1].append("out")
+            case ev.Closed(task=task, final=final) if task in open_:
+                name, results = open_.pop(task)
+                _enter(told, final, name, results)
+    for name, results in open_.values():
+        _enter(told, "lost with its dispatcher", name, results)
+    return told
+
+
+def _enter(told: Books, final: str, name: str, results: list[str]) -> None:
+    told.finals[final] += 1
+    if final != "satisfied":
+        cause = final, ", then ".join(results) or "never handed off"
+        told.causes[cause] += 1
+        told.names[cause].append(name)
--- /dev/null
+++ b/martenlead/capture/tape.py
@@ -0,0 +1,133 @@
+"""Writes down what crosses the border: numbers objects, and gives each call and decision to a sink.
+
+It is given what the module is given and asks nothing of it.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import inspect
+import platform
+import time
+from collections.abc import Callable
+from typing import Any
+
+from martenlead import brain
+from martenlead.capture import events as ev
+from martenlead.interface import (
+    Action,
+    Answer,
+    AskRoster,
+    CallOff,
+    Customer,
+    HandOff,
+    ModelFacts,
+    Order,
+    Result,
+    RunnerFacts,
+    Scrap,
+    Settings,
+    Task,
+    TurnBack,
+)
+
+PROGRAM = "0.2.0"
+
+
+def module_hash() -> str:
+    return hashlib.sha256(inspect.getsource(brain).encode()).hexdigest()[:16]
+
+
+class Tape:
+    def __init__(self, sink: Callable[[ev.Event], None], edge: str) -> None:
+        self.sink, self.edge = sink, edge
+        self._runners: dict[Any, int] = {}
+        self._models: dict[Any, int] = {}
+        self._tasks: dict[Task, int] = {}
+        self._orders: dict[Order, int] = {}
+        self._offerings: dict[Any, int] = {}
+        self._customers: dict[Any, int] = {}
+        self._over: set[Task] = set()  # closed, with hand-offs whose answers are still to come
+        self._count = self._ordered = 0
+
+    # -- inputs
+
+    def start(
+        self, t: int, settings: Settings, seed: int, names: list[str], customers: dict[str, Customer]
+    ) -> None:
+        self._offerings = {o: n for n, o in enumerate(settings.offerings)}
+        self._customers = {c: n for n, c in enumerate(customers.values())}
+        told = [(name, c.quota) for name, c in customers.items()]
+        packed = ev.pack_settings(settings)
+        python = platform.python_version()
+        self.sink(
+            ev.Start(t, time.time(), self.edge, module_hash(), PROGRAM, python, seed, packed, names, told)
+        )
+
+    def begin(self, t: int) -> None:
+        self.sink(ev.Begin(t))
+
+    def tick(self, t: int, tick: int) -> None:
+        self.sink(ev.Tick(t, tick))
+
+    def runner(self, t: int, runner: Any, facts: RunnerFacts, name: str) -> None:
+        number = self._runners[runner] = len(self._runners)
+        self.sink(ev.NewRunner(t, number, name, ev.pack_facts(facts)))
+
+    def model(self, t: int, model: Any, facts: ModelFacts, name: str) -> None:
+        number = self._models[model] = len(self._models)
+        self.sink(ev.NewModel(t, number, name, f"{facts.mark:x}", facts.lanes, facts.memory))
+
+    def roster(self, t: int, news: list[tuple[Any, RunnerFacts]], whole: bool) -> None:
+        self.sink(ev.Roster(t, whole, [(self._runners[r], ev.pack_facts(facts)) for r, facts in news]))
+
+    def take(self, t: int, task: Task, name: str) -> None:
+        self._count += 1
+        number = self._tasks[task] = self._count
+        customer = -1 if task.customer is None else self._customers[task.customer]
+        model, offering = self._models[task.model], self._offerings[task.offering]
+        self.sink(ev.Take(t, number, name, model, offering, customer, task.give_up, task.again, task.cost))
+
+    def answered(self, t: int, answer: Answer) -> None:
+        task = answer.hand_off.task
+        number = self._tasks[task]
+        at = task.hand_offs.index(answer.hand_off)
+        result, warmth = answer.result.value, answer.warmth.value
+        self.sink(ev.Answered(t, number, at, result, answer.final, warmth, answer.lag))
+        if task in self._over and sum(h.result is None for h in task.hand_offs) == 1:  # this one
+            self._over.discard(task)
+            del self._tasks[task]
+
+    def ordered(self, t: int, order: Order, result: Result, copies: int) -> None:
+        self.sink(ev.OrderEnded(t, self._orders.pop(order), result.value, copies))
+
+    def closed(self, t: int, task: Task, final: str) -> None:
+        self.sink(ev.Closed(t, self._tasks[task], final))
+        if any(h.result is None for h in task.hand_offs):
+            self._over.add(task)
+        else:
+            del self._tasks[task]
+
+    def advance(self, t: int) -> None:
+        self.sink(ev.Advance(t))
+
+    # -- decisions
+
+    def decided(self, action: Action) -> None:
+        match action:
+            case HandOff(task=task, runner=runner, patience=patience):
+                at = len(task.hand_offs) - 1
+                self.sink(ev.HandedOff(self._tasks[task], at, self._runners[runner], patience))
+            case TurnBack(task=task, wait=wait):
+                self.sink(ev.TurnedBack(self._tasks[task], wait))
+            case Scrap(task=task):
+                self.sink(ev.Scrapped(self._tasks[task]))
+            case CallOff(hand_off=hand_off):
+                task = hand_off.task
+                self.sink(ev.CalledOff(self._tasks[task], task.hand_offs.index(hand_off)))
+            case Order(runner=runner, model=model, copies=copies):
+                self._ordered += 1
+                number = self._orders[action] = self._ordered
+                self.sink(ev.Ordered(number, self._runners[runner], self._models[model], copies))
+            case AskRoster():
+                self.sink(ev.Asked())
--- a/martenlead/cli/day.py
+++ b/martenlead/cli/day.py
@@ -20,9 +20,12 @@
 @click.option("--seed", type=int, help="in place of the script's")
 @click.option("--report", "report_file", type=click.Path(path_type=Path), help="take the report as JSON")
 @click.option("--keep", type=click.Path(path_type=Path), help="folder for records and logs, kept")
-def day(script: Path, seed: int | None, report_file: Path | None, keep: Path | None) -> None:
+@click.option("--capture", is_flag=True, help="each edge captures, into captures/ of the folder kept")
+def day(script: Path, seed: int | None, report_file: Path | None, keep: Path | None, capture: bool) -> None:
     """Play a scripted day on loopback and audit it. Exit 0 only if every rule was kept."""
     made = decode(evaluate(script), Day, str(script))
+    if capture:
+        made = msgspec.structs.replace(made, capture=True)
     chosen = made.seed if seed is None else seed
     try:
         plan(made, chosen)
--- a/martenlead/cli/edge.py
+++ b/martenlead/cli/edge.py
@@ -4,9 +4,14 @@
 from pathlib import Path
 
 import click
+import msgspec
+import structlog
 
+from martenlead.capture.store import Busy, Store, StoreSettings
+from martenlead.capture.tape import Tape
 from martenlead.config.edge import read
-from martenlead.edge.serve import run
+from martenlead.config.load import BadConfig, decode
+from martenlead.edge.serve import configure_log, run
 
 
 @click.command()
@@ -18,8 +23,21 @@
         click.echo(f'{{"ready": {{"port": {port}}}}}')
 
     settings = read(config)
+    configure_log(settings)
+    store = tape = None
+    if settings.capture:
+        log = structlog.get_logger().bind(edge=settings.name)
+        told = decode(msgspec.to_builtins(settings.capture), StoreSettings, str(config))
+        try:
+            store = Store(told, settings.name, lambda what, why: log.warning(what, why=why))
+        except (OSError, Busy) as error:
+            raise BadConfig(f"{config}: $.capture.folder: {error}") from None
+        tape = Tape(store.put, settings.name)
     try:
-        run(settings, started)
+        run(settings, started, tape)
     except* OSError as errors:
         click.echo(f"{config}: $.listen: {errors.exceptions[0]}", err=True)
         sys.exit(1)
+    finally:
+        if store is not None:
+            store.close()
--- a/martenlead/cli/main.py
+++ b/martenlead/cli/main.py
@@ -7,6 +7,7 @@
 import click
 
 from martenlead.cli.call import call
+from martenlead.cli.capture import capture, replay_command
 from martenlead.cli.config import config
 from martenlead.cli.day import day
 from martenlead.cli.edge import edge
@@ -20,7 +21,7 @@
     """A gateway that runs tasks on runners which load models on demand."""
 
 
-for command in (edge, day, config, standin, call):
+for command in (edge, day, config, standin, call, replay_command, capture):
     commands.add_command(command)
 
 
--- a/martenlead/config/edge.py
+++ b/martenlead/config/edge.py
@@ -109,6 +109,18 @@
     decisions: bool = False  # a line a decision
 
 
+class Capture(Part, frozen=True, kw_only=True):
+    """Where and how what the dispatcher was told and decided is kept."""
+
+    folder: Name
+    segment_bytes: Count = 16_777_216
+    segment_s: Positive = 600
+    total_bytes: Count = 1_073_741_824  # of this edge's; the oldest segments go first
+    queue: Count = 100_000  # events that may wait for the disk; beyond, a gap stands in their place
+    flush_ms: Positive = 50
+    sync: Literal["never", "segment", "flush"] = "segment"
+
+
 class Edge(Part, frozen=True, kw_only=True):
     """The settings of one edge process, which is one dispatcher."""
 
@@ -130,6 +142,7 @@
     cold: Cold = Cold()
     limits: LimitsPart = LimitsPart()
     log: Log = Log()
+    capture: Capture | None = None
     uvloop: bool = True
 
 
--- a/martenlead/days/run.py
+++ b/martenlead/days/run.py
@@ -132,7 +132,8 @@
     edges: list[Child] = []
     for n, config in enumerate(made.edges):
         link = {"port": roster_port, "kept": str(folder / f"edge-{n}.kept"), **config.get("roster", {})}
-        edges.append(child(f"edge-{n}", ["edge"], {**config, "roster": link}))
+        captured = {"capture": {"folder": str(folder / "captures")}} if day.capture else {}
+        edges.append(child(f"edge-{n}", ["edge"], {**captured, **config, "roster": link}))
     edge_ports = [0] * len(edges)
 
     async def start_edge(n: int) -> None:
--- a/martenlead/days/script.py
+++ b/martenlead/days/script.py
@@ -108,6 +108,7 @@
     slack_ms: NotNegative = 20
     roster_lag_ms: tuple[float, float] = (200, 1500)
     vault: Vault = Vault()
+    capture: bool = False  # each edge captures, into the day's folder
     troubles: list[Trouble] = []
 
 
--- a/martenlead/edge/dispatcher.py
+++ b/martenlead/edge/dispatcher.py
@@ -23,7 +23,7 @@
 from anyio.abc import TaskGroup
 
 from martenlead.config.edge import Edge, ns, settings
-from martenlead.edge.border import Border
+from martenlead.edge.border import Border, Tape
 from martenlead.edge.protocol import Wanted
 from martenlead.events import http
 from martenlead.events.client import Exchange, Pool, Sending, lines
@@ -136,14 +136,15 @@
 class Dispatcher:
     """One `Engine` and the sockets around it. `run` holds its task group; all else is called inside it."""
 
-    def __init__(self, edge: Edge, clock: Callable[[], int] = monotonic_ns) -> None:
+    def __init__(self, edge: Edge, clock: Callable[[], int] = monotonic_ns, tape: Tape | None = None) -> None:
         self.edge, self.clock = edge, clock
         told, self.offerings, self.customers = settings(edge)
         self.hard = {o.name: ns(o.hard_limit_ms) for o in edge.offerings}
         self.border_calls_off = told.call_off
         self.tick, self.margin = told.tick, ns(edge.margin_ms)
         seed = edge.seed if edge.seed is not None else int.from_bytes(Random().randbytes(8), "big")
-        self.border = Border(told, seed, clock, self._outlet)
+        names = list(self.offerings), self.customers
+        self.border = Border(told, seed, clock, self._outlet, tape, names)
         self.chance = Random(seed)
         self.log = structlog.get_logger().bind(edge=edge.name)
         self.agent = f"martenlead/{edge.name}".encode()
@@ -337,7 +338,7 @@
                 state = State.DRAINING  # its own word is newer than the roster's until it has started anew
             facts = box.facts(state, box.since, line.weight or line.memory_mb or 1.0)
             if box.runner is None:
-                box.runner = self.border.runner(facts)
+                box.runner = self.border.runner(facts, line.id)
                 self.by_runner[box.runner] = box
             news.append((box.runner, facts))
             self.log.info("roster", runner=line.id, state=state.value, version=self.list.version)
@@ -365,7 +366,8 @@
         known = self.models.get(wanted.model)
         if known is None:
             mark = int.from_bytes(wanted.model.encode()[:64], "big")
-            model = self.border.model(ModelFacts(mark, wanted.lanes, wanted.memory_mb))
+            facts = ModelFacts(mark, wanted.lanes, wanted.memory_mb)
+            model = self.border.model(facts, wanted.model)
             known = self.models[wanted.model] = Known(wanted.model, model, wanted.lanes, wanted.memory_mb)
             self.by_model[model] = known
         limit = self.hard[wanted.offering]
@@ -386,6 +388,7 @@
             wanted.again,
             wanted.cost,
             note,
+            " ".join(wanted.event.mark),
         )
         held.opening = False
         self._rearm()
@@ -424,7 +427,7 @@
             if held.final is not Final.LEFT:
                 left = task.give_up - self.clock()
                 self.closest = left if self.closest is None else min(self.closest, left)
-        self.border.closed(task)
+        self.border.closed(task, held.final.value if held.final else "")
         if not self.held:
             self.emptied.set()
 
--- a/martenlead/edge/serve.py
+++ b/martenlead/edge/serve.py
@@ -11,12 +11,13 @@
 import structlog
 
 from martenlead.config.edge import Edge
+from martenlead.edge.border import Tape
 from martenlead.edge.dispatcher import Dispatcher
 from martenlead.edge.door import Admin, Door
 from martenlead.events.server import listen
 
 
-async def serve(edge: Edge, started: Callable[[int], None] | None = None) -> None:
+async def serve(edge: Edge, started: Callable[[int], None] | None = None, tape: Tape | None = None) -> None:
     """Runs until SIGTERM or SIGINT has been obeyed. `started` is told the port. Raises OSError for the
     listener.
 
@@ -24,7 +25,7 @@
     every held task gets its answer now.
     """
     log = structlog.get_logger().bind(edge=edge.name)
-    dispatcher = Dispatcher(edge)
+    dispatcher = Dispatcher(edge, tape=tape)
     door = Door(dispatcher, edge)
     listener, port = await listen(edge.listen.host, edge.listen.port)
     async with anyio.create_task_group() as group:
@@ -62,7 +63,7 @@
     dispatcher.hasten()
 
 
-def run(edge: Edge, started: Callable[[int], None] | None = None) -> None:
+def configure_log(edge: Edge) -> None:
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -73,9 +74,12 @@
         wrapper_class=structlog.make_filtering_bound_logger(edge.log.level),
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
     )
+
+
+def run(edge: Edge, started: Callable[[int], None] | None = None, tape: Tape | None = None) -> None:
     # a full collection over all that is held stalls the loop: what stands at the start is left out of it, and
     # the young are looked at less often; cycles are few, since tasks and answers end by their counts
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
-    anyio.run(serve, edge, started, backend_options={"use_uvloop": edge.uvloop})
+    anyio.run(serve, edge, started, tape, backend_options={"use_uvloop": edge.uvloop})
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -14,6 +14,7 @@
 
 from martenlead.config.edge import Edge, check
 from martenlead.config.load import decode
+from martenlead.edge.border import Tape
 from martenlead.edge.dispatcher import Dispatcher
 from martenlead.edge.door import Door
 from martenlead.events import http
@@ -202,7 +203,10 @@
 
 @asynccontextmanager
 async def fleet(
-    parts: dict[str, list[Part]] | None = None, zones: dict[str, str] | None = None, **settings: Any
+    parts: dict[str, list[Part]] | None = None,
+    zones: dict[str, str] | None = None,
+    tape: Tape | None = None,
+    **settings: Any,
 ) -> AsyncIterator[Fleet]:
     f = Fleet(parts or {"a": [satisfied], "b": [satisfied]}, zones or {})
     async with anyio.create_task_group() as group:
@@ -224,7 +228,7 @@
         group.start_soon(serve_roster)
         config = {"seed": 5, "roster": {"port": f.roster_port}, "offerings": OFFERINGS, **settings}
         f.edge = check(decode(config, Edge, "test"), "test")
-        f.dispatcher = Dispatcher(f.edge)
+        f.dispatcher = Dispatcher(f.edge, tape=tape)
         f.door = Door(f.dispatcher, f.edge)
         group.start_soon(f.dispatcher.run)
         door, f.port = await listen("127.0.0.1", 0)
--- /dev/null
+++ b/tests/test_capture.py
@@ -0,0 +1,335 @@
+"""Captures: every byte of the file, the disk's failures, and replays that decide the same."""
+
+from __future__ import annotations
+
+import errno
+import os
+import subprocess
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+from click.testing import CliRunner
+from hypothesis import given
+from hypothesis import strategies as st
+
+from martenlead.brain import Brain
+from martenlead.capture import events as ev
+from martenlead.capture import format as fm
+from martenlead.capture.explain import books, explain_task
+from martenlead.capture.replay import Replayer, replay, setting, what_if
+from martenlead.capture.store import Busy, Store, StoreSettings, runs
+from martenlead.capture.tape import Tape
+from martenlead.cli.main import commands
+from tests.fleet import after, closes, draining, error, fleet, full, satisfied, silent
+
+pytestmark = pytest.mark.anyio
+CAPTURES = Path(__file__).parent / "captures"
+ADVANCES = st.lists(st.builds(ev.Advance, st.integers(0, 2**40)), min_size=1, max_size=30)
+
+
+async def played(**settings: Any) -> list[ev.Event]:
+    """A short troubled life of a real edge, on tape."""
+    events: list[ev.Event] = []
+    parts = {"a": [satisfied, error, closes, after(50, satisfied)], "b": [full, satisfied, draining]}
+    async with fleet(parts, tape=Tape(events.append, "edge"), **settings) as f:
+        async with anyio.create_task_group() as group:
+            for n in range(40):
+                kind = ("estimate", "post", "notice")[n % 3]
+                group.start_soon(lambda kind, n: f.call(kind, model=f"m{n % 4}", left=600), kind, n)
+                await anyio.sleep(0.01)
+            await f.say("b", "gone")
+        f.first = [silent]
+        with anyio.move_on_after(0.05):
+            await f.exchange("notice")
+        await f.say("a", "draining")
+        await f.call("estimate", left=1)
+        await anyio.sleep(0.3)
+    return events
+
+
+async def test_a_troubled_life_replays_with_the_same_decisions() -> None:
+    events = await played()
+    outcome = replay(events)
+    assert outcome.divergence is None
+    assert (outcome.events, outcome.stopped) == (len(events), "")
+    assert outcome.decisions > 40
+
+
+async def test_nothing_reaches_the_module_around_the_border(monkeypatch: pytest.MonkeyPatch) -> None:
+    calls: Counter[str] = Counter()
+    inputs = {"heard": ev.Answered, "ordered": ev.OrderEnded, "roster": ev.Roster, "closed": ev.Closed}
+    inputs |= {"task": ev.Take, "runner": ev.NewRunner, "model": ev.NewModel}
+    for name in inputs:
+        plain = getattr(Brain, name)
+
+        def counted(self: Brain, *args: Any, _plain: Any = plain, _name: str = name) -> Any:
+            calls[_name] += 1
+            return _plain(self, *args)
+
+        monkeypatch.setattr(Brain, name, counted)
+    events = await played()
+    written = Counter(type(event) for event in events)
+    assert {name: calls[name] for name in inputs} == {name: written[kind] for name, kind in inputs.items()}
+
+
+@pytest.mark.parametrize("path", sorted(CAPTURES.glob("*.mlc")), ids=lambda path: path.name.split("-17")[0])
+def test_past_failures_decide_the_same(path: Path) -> None:
+    outcome = replay(runs([path])[0].events())
+    assert outcome.divergence is None
+    assert outcome.stopped == ""
+    assert outcome.decisions > 20
+
+
+def test_hash_seeds_and_processes_make_no_difference() -> None:
+    for seed in ("0", "1", "4711"):
+        done = subprocess.run(
+            [sys.executable, "-m", "martenlead", "replay", str(CAPTURES)],
+            env={**os.environ, "PYTHONHASHSEED": seed},
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        assert done.returncode == 0, done.stdout
+        assert done.stdout.count(": identical: ") == 9
+
+
+def test_the_first_decision_that_differs_is_shown_with_what_was_before() -> None:
+    events = list(runs([CAPTURES])[0].events())
+    place = next(n for n, e in enumerate(events) if isinstance(e, ev.HandedOff) and n > 60)
+    then = events[place]
+    assert isinstance(then, ev.HandedOff)
+    changed = ev.HandedOff(then.task, then.hand_off, then.runner + 1, then.patience)
+    outcome = replay([*events[:place], changed, *events[place + 1 :]])
+    assert outcome.divergence is not None
+    assert (outcome.divergence.place, outcome.divergence.recorded) == (place, changed)
+    assert outcome.divergence.made == then
+    assert outcome.divergence.before == events[place - 20 : place]
+    left_out = replay([*events[:place], *events[place + 1 :]])
+    assert left_out.divergence is not None
+    assert (left_out.divergence.recorded, left_out.divergence.made) == (None, then)
+
+
+def test_answers_late_twice_and_out_of_order_are_borne() -> None:
+    events = list(runs([CAPTURES])[0].events())
+    answers = [e for e in events if isinstance(e, ev.Answered)]
+    end = max(e.t for e in events if isinstance(e, ev.Input))
+    odd = [
+        *events,
+        *(ev.Answered(end + 1, a.task, a.hand_off, a.result, True, a.warmth, a.lag) for a in answers),
+    ]
+    assert replay(odd).divergence is None
+    swapped = Replayer()
+    for event in sorted(
+        (e for e in events if isinstance(e, ev.Input)), key=lambda e: (e.t // 5_000_000, -e.t)
+    ):
+        if not isinstance(
+            event, ev.Start | ev.NewRunner | ev.NewModel | ev.Roster | ev.Begin | ev.Take | ev.Closed
+        ):
+            swapped.start and swapped.feed(event)
+        elif isinstance(event, ev.Start) or swapped.start:
+            try:
+                swapped.feed(event)
+            except (IndexError, KeyError):
+                break  # told of what had not been named yet: not a capture, and no wrong decision either
+
+
+def test_a_what_if_claims_only_what_it_can_know() -> None:
+    events = list(runs([CAPTURES / "garbage-1796000000000000000-000000.mlc"])[0].events())
+    same = what_if(events, lambda settings: settings)
+    assert (same.elsewhere, same.not_sent, same.sent, same.then) == (0, 0, 0, same.now)
+    once = what_if(events, setting("hand_offs=1"))
+    assert once.now["HandedOff"] < once.then["HandedOff"]
+    for bad in ("nothing=1", "hand_offs=many", "twice_out=1"):
+        with pytest.raises(ValueError, match=bad.partition("=")[0]):
+            what_if(events, setting(bad))
+
+
+def test_the_story_of_a_task_and_the_causes_of_all() -> None:
+    events = list(runs([CAPTURES / "answer-lost-1796000000000000000-000000.mlc"])[0].events())
+    told = books(events)
+    assert sum(told.finals.values()) == told.tasks == sum(isinstance(e, ev.Take) for e in events)
+    cause, names = next((cause, names) for cause, names in told.names.items() if cause[0] != "satisfied")
+    story = explain_task(events, names[0])
+    text = "\n".join(line.split("ms  ")[-1].strip() for line in story)
+    assert "ms left" in text
+    assert "hand-off 0 to runner-" in text
+    assert f"over: {cause[0]}" in text
+    assert "credit" in text
+    assert explain_task(events, "nobody") == []
+
+
+# -- the format
+
+
+def segment(*batches: list[ev.Event], index: bool = True) -> bytes:
+    packer, data, entries = fm.Packer(), fm.write_head(0, 7, 0), []
+    for batch in batches:
+        entries.append(fm.entry(len(data), batch))
+        data += packer.events(batch)
+    return data + (packer.index(entries) if index else b"")
+
+
+def read(data: bytes) -> list[ev.Event]:
+    return [event for frame in fm.Segment(data).frames() for event in frame.events()]
+
+
+@given(st.lists(ADVANCES, min_size=1, max_size=4))
+def test_what_was_written_is_read(batches: list[list[ev.Event]]) -> None:
+    assert read(segment(*batches)) == [event for batch in batches for event in batch]
+    assert fm.Segment(segment(*batches)).index() == fm.Segment(segment(*batches, index=False)).index()
+
+
+def test_cut_at_any_byte_it_gives_all_whole_frames_before() -> None:
+    batches: list[list[ev.Event]] = [[ev.Advance(n * 10 + m) for m in range(5)] for n in range(6)]
+    data = segment(*batches)
+    ends = [entry.at for entry in fm.Segment(data).index()][1:]
+    for cut in range(fm.HEAD_SIZE, len(data)):
+        whole = sum(end <= cut for end in ends) + (cut >= len(segment(*batches, index=False)))
+        assert read(data[:cut]) == [event for batch in batches[:whole] for event in batch]
+    for cut in range(fm.HEAD_SIZE):
+        with pytest.raises(fm.BadCapture):
+            read(data[:cut])
+
+
+def test_a_flipped_bit_anywhere_never_gives_a_wrong_event() -> None:
+    batches: list[list[ev.Event]] = [[ev.Advance(n)] for n in range(4)]
+    data, all_events = segment(*batches), [event for batch in batches for event in batch]
+    for at in range(len(data)):
+        broken = bytearray(data)
+        broken[at] ^= 0x10
+        try:
+            found = read(bytes(broken))
+        except fm.BadCapture:
+            continue
+        assert found == all_events[: len(found)]
+
+
+def test_a_newer_version_is_refused_by_name() -> None:
+    data = bytearray(segment([ev.Advance(1)]))
+    data[8] = fm.VERSION + 1
+    with pytest.raises(fm.BadCapture, match=f"version {fm.VERSION + 1} of the format.* up to {fm.VERSION}"):
+        read(bytes(data))
+
+
+# -- the folder
+
+
+def store(tmp_path: Path, **settings: Any) -> tuple[Store, list[str]]:
+    told: list[str] = []
+    made = Store(
+        StoreSettings(folder=str(tmp_path), **{"flush_ms": 5, **settings}),
+        "edge",
+        lambda what, _: told.append(what),
+    )
+    return made, told
+
+
+def settle(made: Store, written: int) -> None:
+    end = time.monotonic() + 10
+    while made.written < written and time.monotonic() < end:
+        time.sleep(0.002)
+    assert made.written >= written
+
+
+def test_segments_turn_over_and_the_oldest_go_first(tmp_path: Path) -> None:
+    made, told = store(tmp_path, segment_bytes=500, total_bytes=4000)
+    for n in range(100):
+        made.put(ev.NewModel(n, n, os.urandom(40).hex(), "0", 1, 1.0))
+        if n % 5 == 4:
+            settle(made, n - 5)
+    made.close()
+    assert sum(p.stat().st_size for p in tmp_path.glob("*.mlc")) <= 4600
+    assert "the oldest segment is removed" in told
+    (run,) = runs([tmp_path])
+    first, *rest = run.events()
+    assert isinstance(first, ev.Gap)
+    assert "are gone" in first.why
+    assert [e.model for e in rest if isinstance(e, ev.NewModel)] == list(range(100))[-len(rest) :]
+    assert replay(run.events()).stopped.startswith("some events are missing")
+
+
+def test_a_full_queue_leaves_a_gap_and_never_waits(tmp_path: Path) -> None:
+    made, _ = store(tmp_path, queue=10, flush_ms=100_000)
+    for n in range(50):
+        made.put(ev.Advance(n))
+    assert made.dropped == 40
+    made._queue.popleft()
+    made.put(ev.Advance(99))
+    made.close()
+    gap = next(e for e in runs([tmp_path])[0].events() if isinstance(e, ev.Gap))
+    assert (gap.t, gap.until, gap.dropped) == (10, 49, 40)
+
+
+def test_a_full_disk_is_told_left_as_a_gap_and_got_over(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    made, told = store(tmp_path)
+    made.put(ev.Advance(1))
+    settle(made, 1)
+    plain = os.write
+
+    def full_disk(descriptor: int, data: bytes) -> int:
+        plain(descriptor, data[:7])  # part of it still goes
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    monkeypatch.setattr(os, "write", full_disk)
+    for n in (2, 3):
+        made.put(ev.Advance(n))
+    while made.dropped < 2:
+        time.sleep(0.002)
+    monkeypatch.undo()
+    made.put(ev.Advance(4))
+    made.close()
+    found = list(runs([tmp_path])[0].events())
+    assert [type(e).__name__ for e in found] == ["Advance", "Gap", "Advance"]
+    assert isinstance(found[1], ev.Gap)
+    assert (found[1].t, found[1].dropped) == (2, 2)
+    assert told == ["the capture is not written"]
+
+
+def test_two_of_one_name_are_refused_and_two_names_share_a_folder(tmp_path: Path) -> None:
+    made, _ = store(tmp_path)
+    with pytest.raises(Busy, match="another dispatcher named edge writes there"):
+        store(tmp_path)
+    other = Store(StoreSettings(folder=str(tmp_path)), "other", lambda *_: None)
+    for one in (made, other):
+        one.put(ev.Advance(1))
+        one.close()
+    assert [run.name for run in runs([tmp_path])] == ["edge", "other"]
+    again, _ = store(tmp_path)
+    again.close()
+
+
+def test_a_segment_removed_while_it_is_read_shows_as_missing(tmp_path: Path) -> None:
+    made, _ = store(tmp_path, segment_bytes=1)
+    for n in range(3):
+        made.put(ev.Advance(n))
+        settle(made, n + 1)
+    made.close()
+    (run,) = runs([tmp_path])
+    events = run.events()
+    assert next(events) == ev.Advance(0)
+    run.paths[1].unlink()
+    assert [type(e).__name__ for e in events] == ["Gap", "Advance"]
+
+
+def test_the_command_line(tmp_path: Path) -> None:
+    (tmp_path / "note.mlc").write_text("x")
+    bad = CliRunner().invoke(commands, ["replay", str(tmp_path)])
+    assert (bad.exit_code, bad.output.count("\n")) == (2, 1)
+    one = str(CAPTURES / "drain-1796000000000000000-000000.mlc")
+    for command in (
+        ["stats", one],
+        ["show", one],
+        ["explain", "--scrapped", one],
+        ["explain", "--task", "1", one],
+    ):
+        told = CliRunner().invoke(commands, ["capture", *command])
+        assert told.exit_code == 0, told.output
+        assert told.output
+    assert CliRunner().invoke(commands, ["capture", "explain", "--task", "nobody", one]).exit_code == 1
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -377,10 +377,13 @@
     async with fleet() as f:
         await f.call()
         admin = Admin(f.dispatcher)
-        state = await admin.handle(Message(method=b"GET", target=b"/state"), 0)
-        metrics = await admin.handle(Message(method=b"GET", target=b"/metrics"), 0)
-        assert json.loads(bytes(state.body))["counts"]["final/satisfied"] == 1  # type: ignore[arg-type]
-        assert b'martenlead_total{kind="hand-off",name="satisfied"} 1.0' in bytes(metrics.body)  # type: ignore[arg-type]
+        bodies = []
+        for target in (b"/state", b"/metrics"):
+            reply = await admin.handle(Message(method=b"GET", target=target), 0)
+            assert isinstance(reply.body, bytes)
+            bodies.append(reply.body)
+        assert json.loads(bodies[0])["counts"]["final/satisfied"] == 1
+        assert b'martenlead_total{kind="hand-off",name="satisfied"} 1.0' in bodies[1]
         assert (await admin.handle(Message(method=b"GET", target=b"/x"), 0)).status == 404
 
 
