--- a/martenlead/capture/explain.py
+++ b/martenlead/capture/explain.py
@@ -13,6 +13,7 @@
 from martenlead.interface import Task
 
 MS = 1_000_000
+LOST = "lost with its dispatcher"
 
 
 def explain_task(events: Iterable[ev.Event], wanted: str) -> list[str]:
@@ -180,7 +181,23 @@
                 name, results = open_.pop(task)
                 _enter(told, final, name, results)
     for name, results in open_.values():
-        _enter(told, "lost with its dispatcher", name, results)
+        _enter(told, LOST, name, results)
+    return told
+
+
+def finals(events: Iterable[ev.Event]) -> dict[str, list[str]]:
+    """The final answers of each task's tries in order, by the event's id."""
+    told: dict[str, list[str]] = defaultdict(list)
+    names: dict[int, tuple[str, int]] = {}
+    for event in events:
+        match event:
+            case ev.Take(task=task, name=name):
+                ident = name.rpartition(" ")[2]
+                names[task] = ident, len(told[ident])
+                told[ident].append(LOST)
+            case ev.Closed(task=task, final=final) if task in names:
+                ident, at = names.pop(task)
+                told[ident][at] = final
     return told
 
 
--- a/martenlead/cli/day.py
+++ b/martenlead/cli/day.py
@@ -3,16 +3,22 @@
 import signal
 import sys
 import tempfile
+from collections import defaultdict
 from pathlib import Path
+from typing import Any
 
 import anyio
 import click
 import msgspec
 
+from martenlead.capture.explain import finals
+from martenlead.capture.store import runs
 from martenlead.config.load import BadConfig, decode, evaluate
+from martenlead.days.books import balance
 from martenlead.days.report import kept, table
 from martenlead.days.run import DayFailed, run
 from martenlead.days.script import Day, plan
+from martenlead.standins.record import read
 
 
 @click.command()
@@ -48,7 +54,20 @@
             except DayFailed as error:
                 click.echo(str(error), err=True)
                 sys.exit(1)
+            told["books"] = _books(made, chosen, folder) if made.capture else None
     click.echo(table(told))
     if report_file:
         report_file.write_bytes(msgspec.json.format(msgspec.json.encode(told)))
     sys.exit(0 if kept(told) else 1)
+
+
+def _books(day: Day, seed: int, folder: Path) -> dict[str, Any]:
+    """The dispatchers' captures beside the clients' records."""
+    edges = [edge["name"] for edge in plan(day, seed).edges]
+    told: dict[tuple[str, str], list[str]] = defaultdict(list)
+    for one in runs([folder / "captures"]):
+        for ident, ends in finals(one.events()).items():
+            told[one.name.replace("_", "-"), ident] += ends
+    killed = {edges[r["edge"]] for r in read(folder / "processes.jsonl") if r["what"] == "killed"}
+    found = balance(list(read(folder / "clients.jsonl")), edges, told, killed)
+    return {"entries": dict(found.entries), "odd": found.odd}
--- a/martenlead/days/report.py
+++ b/martenlead/days/report.py
@@ -72,7 +72,9 @@
 
 def kept(told: dict[str, Any]) -> bool:
     """Whether every rule was kept, something was asked of each edge, and each ended in good order."""
-    return all(not rule["breaches"] for rule in told["rules"].values()) and not any(told["edges_exit"])
+    books = told.get("books") or {"odd": []}
+    rules = all(not rule["breaches"] for rule in told["rules"].values())
+    return rules and not any(told["edges_exit"]) and not books["odd"]
 
 
 def table(told: dict[str, Any]) -> str:
@@ -95,6 +97,12 @@
         lines.append(f"{name:<16} {rule['checked']:>8} {rule['breaches']:>9}")
     for name, rule in told["rules"].items():
         lines += [f"  {name}: {b['why']}: {b['records']}" for b in rule["records"][:3]]
+    if told.get("books"):
+        lines.append(
+            "books of clients and captures: " + ("balance" if not told["books"]["odd"] else "do not balance")
+        )
+        lines += [f"{n:8} {entry}" for entry, n in sorted(told["books"]["entries"].items())]
+        lines += [f"  odd: {odd}" for odd in told["books"]["odd"][:10]]
     if any(told["edges_exit"]):
         lines.append(f"edges ended with {told['edges_exit']}")
     return "\n".join(lines)
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -8,6 +8,7 @@
 import pytest
 
 from martenlead.days.audit import NAMES, Audit, Rules
+from martenlead.days.books import LOST, balance
 
 MS = 1_000_000
 OFFERINGS = {
@@ -223,3 +224,44 @@
         day.order(100 + n * 50, "a")
     day.order(2000, "a")
     assert day.broken() == ["load_ration: 4 orders against 10 tasks"]
+
+
+def test_the_books_balance_or_name_what_is_odd() -> None:
+    day = Day()
+    ends = {
+        "1.0": ("answer", "satisfied"),
+        "2.0": ("answer", "turned back"),
+        "2.1": ("answer", "satisfied"),
+        "3.0": ("broken", ""),
+        "4.0": ("broken", ""),
+        "5.0": ("answer", "scrapped"),
+        "6.0": ("unreached", ""),
+        "7.0": ("left", ""),
+    }
+    for at, (name, (what, final)) in enumerate(ends.items()):
+        day.sent(at, name)
+        day.end(at + 100, name, what, final)
+    captured = {
+        ("edge", "1"): ["satisfied"],
+        ("edge", "2"): ["turned back", "satisfied"],
+        ("edge", "3"): [LOST],
+        ("edge", "5"): [LOST],
+        ("edge", "7"): ["left"],
+    }
+    found = balance(day.clients, ["edge"], captured, {"edge"})
+    assert found.odd == []
+    assert dict(found.entries) == {
+        "unreached": 1,
+        "satisfied": 2,
+        "turned back": 1,
+        LOST: 1,
+        "died with its dispatcher, untold": 1,
+        "scrapped, and its end was not on disk when its dispatcher died": 1,
+        "left": 1,
+    }
+    assert sum(found.entries.values()) == len(ends)
+    alive = balance(day.clients, ["edge"], captured, set())
+    assert alive.odd == [
+        "4.0 at edge: broken for its client, nothing in the capture",
+        f"5.0 at edge: scrapped for its client, ['{LOST}'] in the capture",
+    ]
