--- a/martenlead/benchlink/__main__.py
+++ b/martenlead/benchlink/__main__.py
@@ -1,3 +1,10 @@
-from martenlead.benchlink.wire import main
+import os
 
-main()
+from martenlead.benchlink.wire import Instance, main
+
+if folder := os.environ.get("MARTENLEAD_CAPTURE"):
+    from martenlead.capture.benchtape import capturing
+
+    main(capturing(folder))
+else:
+    main(Instance)
--- a/martenlead/benchlink/wire.py
+++ b/martenlead/benchlink/wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -200,7 +201,7 @@
     return int.from_bytes(name.encode(), "big")
 
 
-def main() -> None:
+def main(make: Callable[[int, dict[str, Any], int, list[dict[str, Any]]], Instance]) -> None:
     decode, encode = msgspec.json.Decoder().decode, msgspec.json.Encoder().encode
     instances: dict[int, Instance] = {}
     read, write = sys.stdin.buffer, sys.stdout.buffer
@@ -216,7 +217,7 @@
             number = event.get("dispatcher")
             try:
                 if event.get("msg") == "hello":
-                    instances[number] = Instance(number, event, now, out)
+                    instances[number] = make(number, event, now, out)
                 elif event.get("msg") == "exit":
                     instances.pop(number, None)
                     touched.pop(number, None)
--- /dev/null
+++ b/martenlead/capture/benchtape.py
@@ -0,0 +1,106 @@
+"""A bench day on tape: the adapter's instances with their module's border recorded, one run each.
+
+Off unless `MARTENLEAD_CAPTURE` names a folder (`benchlink/__main__.py`); nothing of it is loaded then.
+"""
+
+from __future__ import annotations
+
+import atexit
+from collections.abc import Callable
+from typing import Any
+
+from martenlead.benchlink.wire import Instance
+from martenlead.capture.store import Store, StoreSettings
+from martenlead.capture.tape import Tape
+from martenlead.interface import Action, Answer, ModelFacts, Order, Result, RunnerFacts, Task
+
+
+class _Tapped:
+    """Stands for the instance's brain and engine, and writes down each call before it passes it on."""
+
+    def __init__(self, instance: Instance, tape: Tape) -> None:
+        self._instance, self._tape = instance, tape
+        self._brain, self._engine = instance.brain, instance.engine
+        self._engine.outlet = self._outlet
+
+    @property
+    def now(self) -> int:
+        return self._brain.now
+
+    @now.setter
+    def now(self, now: int) -> None:
+        self._brain.now = now
+
+    def _outlet(self, action: Action) -> None:
+        self._tape.decided(action)
+        self._instance.act(action)
+
+    def runner(self, facts: RunnerFacts) -> Any:
+        runner = self._brain.runner(facts)
+        self._tape.runner(self.now, runner, facts, f"{facts.mark:x}")
+        return runner
+
+    def model(self, facts: ModelFacts) -> Any:
+        model = self._brain.model(facts)
+        self._tape.model(self.now, model, facts, f"{facts.mark:x}")
+        return model
+
+    def roster(self, news: list[tuple[Any, RunnerFacts]], whole: bool) -> None:
+        self._tape.roster(self.now, news, whole)
+        self._brain.roster(news, whole)
+
+    def begin(self) -> None:
+        self._tape.begin(self.now)
+        self._engine.begin()
+
+    def take(self, task: Task) -> None:
+        self._tape.take(self.now, task, self._instance.task_ids[task])
+        self._engine.take(task)
+
+    def answered(self, answer: Answer) -> None:
+        self._tape.answered(self.now, answer)
+        self._engine.answered(answer)
+
+    def ordered(self, order: Order, result: Result, copies: int) -> None:
+        self._tape.ordered(self.now, order, result, copies)
+        self._engine.ordered(order, result, copies)
+
+    def closed(self, task: Task) -> None:
+        self._tape.closed(self.now, task, "closed")
+        self._engine.closed(task)
+
+    def due(self) -> int | None:
+        return self._engine.due()
+
+    def advance(self, now: int) -> None:
+        due = self._engine.due()
+        if due is not None and due <= now:
+            self._tape.advance(now)
+            self._engine.advance(now)
+
+
+def capturing(folder: str) -> Callable[[int, dict[str, Any], int, list[dict[str, Any]]], Instance]:
+    """Makes instances that capture into a folder; each life of each instance is a run of its own."""
+    stores: dict[int, Store] = {}
+
+    def close() -> None:
+        for store in stores.values():
+            store.close()
+
+    atexit.register(close)
+
+    def make(number: int, event: dict[str, Any], now: int, out: list[dict[str, Any]]) -> Instance:
+        if number in stores:
+            stores[number].close()
+        # a bench day has no clock to keep up with: the queue holds what the day brings
+        settings = StoreSettings(folder=folder, queue=10_000_000, checkpoints=False)
+        store = stores[number] = Store(settings, f"instance{number}", lambda *_: None)
+        instance = Instance(number, event, now, out)
+        tape = Tape(store.put, f"instance{number}")
+        profile = instance.profile
+        tape.start(now, profile.settings, event["seed"], list(profile.offerings), profile.customers)
+        tapped: Any = _Tapped(instance, tape)
+        instance.brain = instance.engine = tapped
+        return instance
+
+    return make
--- a/martenlead/capture/replay.py
+++ b/martenlead/capture/replay.py
@@ -9,11 +9,13 @@
 from collections import Counter, deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
+from pathlib import Path
 from time import perf_counter
 from typing import Any
 
 from martenlead.brain import Brain
 from martenlead.capture import events as ev
+from martenlead.capture.checkpoint import Checkpoint, restore, save
 from martenlead.capture.tape import Tape
 from martenlead.engine import Engine
 from martenlead.interface import (
@@ -54,6 +56,7 @@
     took: float = 0.0
     divergence: Divergence | None = None
     stopped: str = ""  # a gap: why nothing behind it was replayed
+    resumed: bool = False  # began at a checkpoint, and not at the start
 
     @property
     def seconds(self) -> float:
@@ -96,6 +99,9 @@
             case ev.Start():
                 self._begin(event)
                 return
+            case Checkpoint():
+                restore(self, event)
+                return
             case ev.Gap(dropped=dropped, why=why):
                 raise Unreplayable(f"{dropped or 'some'} events are missing: {why}")
         if self.start is None:
@@ -196,6 +202,7 @@
             outcome.first = outcome.first or event.t
             outcome.last = event.t
             outcome.tasks += isinstance(event, ev.Take)
+            outcome.resumed = outcome.resumed or isinstance(event, Checkpoint)
             try:
                 replayer.feed(event)
             except Unreplayable as error:
@@ -285,3 +292,30 @@
         return replace(settings, **new)
 
     return change
+
+
+def checkpoint_between(earlier: Iterable[ev.Event], later: Iterable[ev.Event], path: Path) -> None:
+    """Replays `earlier` and writes the state before the first input of `later`; decisions that stand there
+    before it are still of the input before. Raises `Unreplayable` where a decision differs, and
+    `CannotWrite`."""
+    replayer = Replayer()
+
+    def take(event: ev.Event) -> None:
+        if not isinstance(event, ev.Input):
+            if not replayer.made or replayer.made.popleft() != event:
+                raise Unreplayable("a decision differs from the one of then")
+            return
+        if replayer.made:
+            raise Unreplayable("a decision differs from the one of then")
+        replayer.feed(event)
+
+    for event in earlier:
+        take(event)
+    for event in later:
+        if isinstance(event, ev.Input):
+            if replayer.start is None:
+                raise Unreplayable("nothing stands before it")
+            save(path, event.t, replayer)
+            return
+        take(event)
+    raise Unreplayable("no input stands behind it")
--- a/martenlead/capture/store.py
+++ b/martenlead/capture/store.py
@@ -9,20 +9,25 @@
 import fcntl
 import os
 import re
+import subprocess
+import sys
 import threading
 import time
 from collections import deque
 from collections.abc import Callable, Iterator
+from itertools import dropwhile, pairwise
 from pathlib import Path
 from typing import Literal
 
 import msgspec
 
+from martenlead.capture.checkpoint import Checkpoint, load, path_of
 from martenlead.capture.events import Event, Gap, Input
 from martenlead.capture.format import HEAD_SIZE, BadCapture, Entry, Packer, Segment, entry, write_head
 
 FILE = re.compile(r"(?P<name>.+)-(?P<run>\d{19})-(?P<segment>\d{6})\.mlc\Z")
 BATCH = 2048  # events a frame at most
+CHILD_S = 600.0  # the longest that a checkpoint may take
 
 
 class StoreSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True, frozen=True):
@@ -33,6 +38,7 @@
     queue: int = 100_000  # events that may wait for the disk; beyond, a gap is written in their place
     flush_ms: float = 50
     sync: Literal["never", "segment", "flush"] = "segment"
+    checkpoints: bool = True  # made in a process of its own before a segment goes, so that the rest replays
 
 
 class Busy(Exception):
@@ -65,6 +71,9 @@
         self._size = 0
         self._opened = 0.0
         self._entries: list[Entry] = []
+        self._child: subprocess.Popen[bytes] | None = None
+        self._child_for: Path | None = None
+        self._child_since = 0.0
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._work, name="capture", daemon=True)
         self._thread.start()
@@ -169,15 +178,46 @@
             self._file = None
 
     def _bound(self) -> None:
+        """Removes the oldest segments beyond the bound, each when the one behind it has its checkpoint."""
         own = sorted(p for p in self.folder.glob(f"{self.name}-*.mlc") if FILE.match(p.name))
         total = sum(p.stat().st_size for p in own)
-        for path in own[:-1]:
+        if self._child is not None:
+            if self._child.poll() is None and time.monotonic() - self._child_since < CHILD_S:
+                return  # until it is done the bound is overrun by what is written meanwhile
+            self._child.kill()
+            if self._child.wait():
+                self._tell("no checkpoint before the oldest segment goes", str(self._child_for))
+            self._child = None
+        for path, following in pairwise(own):
             if total <= self.settings.total_bytes:
                 return
+            wanted = self.settings.checkpoints and _run_of(path) == _run_of(following)
+            if wanted and not following.with_suffix(".ckpt").exists() and self._child_for != following:
+                self._make_checkpoint(following)
+                return
             total -= path.stat().st_size
             path.unlink(missing_ok=True)
+            path.with_suffix(".ckpt").unlink(missing_ok=True)
             self._tell("the oldest segment is removed", path.name)
 
+    def _make_checkpoint(self, path: Path) -> None:
+        command = [sys.executable, "-m", "martenlead", "capture", "checkpoint", str(path)]
+        self._child_for, self._child_since = path, time.monotonic()
+        try:
+            self._child = subprocess.Popen(
+                ["nice", "-n", "19", *command],
+                stdin=subprocess.DEVNULL,
+                stdout=subprocess.DEVNULL,
+                stderr=subprocess.DEVNULL,
+            )
+        except OSError as error:
+            self._tell("no checkpoint can be made", str(error))
+
+
+def _run_of(path: Path) -> str:
+    match = FILE.match(path.name)
+    return match["run"] if match else ""
+
 
 # -- reading
 
@@ -189,10 +229,18 @@
         self.name, self.run, self.paths = name, run, paths
         self.torn = 0
         self.missing: list[int] = []
+        self.resumed = False  # read on from a checkpoint
+
+    def _checkpoint(self, path: Path) -> Checkpoint | None:
+        try:
+            return load(path_of(path))
+        except OSError:
+            return None
 
     def events(self) -> Iterator[Event]:
-        """All events that are whole. A segment that is missing, or a torn end with more behind it, shows as a
-        `Gap`. Raises `BadCapture` for what is no capture."""
+        """All events that are whole. Where the first segments are gone and the first that is there has a
+        checkpoint, that comes first, in place of what was before. A segment that is missing, or a torn end
+        with more behind it, shows as a `Gap`. Raises `BadCapture` for what is no capture."""
         expected, last = 0, 0
         for path in self.paths:
             try:
@@ -204,6 +252,21 @@
                     self.torn += path.stat().st_size  # killed as it was begun
                     return
                 raise BadCapture(f"{path}: {error}") from None
+            if segment.head.segment != expected and not expected:
+                found = self._checkpoint(path)
+                if found is not None:
+                    yield found
+                    for frame in segment.frames():
+                        last = frame.last
+                        # what stands before the first input was decided before the checkpoint
+                        events = frame.events()
+                        if not self.resumed:
+                            events = list(dropwhile(lambda e: not isinstance(e, Input), events))
+                            self.resumed = bool(events)
+                        yield from events
+                    self.torn += segment.torn
+                    expected = segment.head.segment + 1
+                    continue
             if segment.head.segment != expected:
                 self.missing += range(expected, segment.head.segment)
                 yield Gap(
--- a/martenlead/cli/capture.py
+++ b/martenlead/cli/capture.py
@@ -8,9 +8,10 @@
 import msgspec
 
 from martenlead.capture import events as ev
+from martenlead.capture.checkpoint import CannotWrite, path_of
 from martenlead.capture.explain import Books, books, explain_task
-from martenlead.capture.format import BadCapture
-from martenlead.capture.replay import Divergence, replay, setting, what_if
+from martenlead.capture.format import BadCapture, Segment
+from martenlead.capture.replay import Divergence, Unreplayable, checkpoint_between, replay, setting, what_if
 from martenlead.capture.store import Run, runs
 from martenlead.capture.tape import module_hash
 
@@ -64,7 +65,8 @@
             bad = bad or not outcome.events
             click.echo(f"{name}: identical as far as it goes: {told}; stopped: {outcome.stopped}")
         else:
-            click.echo(f"{name}: identical: {told}, {speed:.0f} times as fast as it was{torn}")
+            since = " since a checkpoint" if outcome.resumed else ""
+            click.echo(f"{name}: identical{since}: {told}, {speed:.0f} times as fast as it was{torn}")
     sys.exit(1 if bad else 0)
 
 
@@ -151,3 +153,22 @@
     elif not any_line:
         click.echo(f"no task {task!r} in these captures", err=True)
         sys.exit(1)
+
+
+@capture.command()
+@click.argument("segment", type=click.Path(path_type=Path, exists=True))
+def checkpoint(segment: Path) -> None:
+    """Write the state before a segment, so that it replays when those before it are gone.
+
+    Edges do this by themselves before the bound on disk removes a segment."""
+    (one,) = found((segment,))
+    try:
+        run = next(r for r in runs([segment.parent]) if (r.name, r.run) == (one.name, one.run))
+        at = [path.name for path in run.paths].index(segment.name)
+        earlier = Run(run.name, run.run, run.paths[:at])
+        later = (event for frame in Segment(segment.read_bytes()).frames() for event in frame.events())
+        checkpoint_between(earlier.events(), later, path_of(segment))
+    except (BadCapture, Unreplayable, CannotWrite) as error:
+        click.echo(f"{segment}: {error}", err=True)
+        sys.exit(1)
+    click.echo(f"{path_of(segment)}")
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -4,15 +4,19 @@
 
 import errno
 import os
+import pickle
 import subprocess
 import sys
 import time
 from collections import Counter
+from itertools import dropwhile
 from pathlib import Path
 from typing import Any
 
 import anyio
+import msgspec
 import pytest
+import zstandard
 from click.testing import CliRunner
 from hypothesis import given
 from hypothesis import strategies as st
@@ -20,8 +24,9 @@
 from martenlead.brain import Brain
 from martenlead.capture import events as ev
 from martenlead.capture import format as fm
+from martenlead.capture.checkpoint import Checkpoint, load
 from martenlead.capture.explain import books, explain_task
-from martenlead.capture.replay import Replayer, replay, setting, what_if
+from martenlead.capture.replay import Replayer, checkpoint_between, replay, setting, what_if
 from martenlead.capture.store import Busy, Store, StoreSettings, runs
 from martenlead.capture.tape import Tape
 from martenlead.cli.main import commands
@@ -237,7 +242,7 @@
 
 
 def test_segments_turn_over_and_the_oldest_go_first(tmp_path: Path) -> None:
-    made, told = store(tmp_path, segment_bytes=500, total_bytes=4000)
+    made, told = store(tmp_path, segment_bytes=500, total_bytes=4000, checkpoints=False)
     for n in range(100):
         made.put(ev.NewModel(n, n, os.urandom(40).hex(), "0", 1, 1.0))
         if n % 5 == 4:
@@ -333,3 +338,104 @@
         assert told.exit_code == 0, told.output
         assert told.output
     assert CliRunner().invoke(commands, ["capture", "explain", "--task", "nobody", one]).exit_code == 1
+
+
+# -- checkpoints
+
+
+@pytest.mark.parametrize("path", sorted(CAPTURES.glob("*.mlc")), ids=lambda path: path.name.split("-17")[0])
+def test_a_replay_goes_on_from_a_checkpoint_with_the_same_decisions(path: Path, tmp_path: Path) -> None:
+    events = list(runs([path])[0].events())
+    for place in range(50, len(events), max(1, len(events) // 8)):
+        checkpoint_between(events[:place], events[place:], tmp_path / "x.ckpt")
+        rest = list(dropwhile(lambda e: not isinstance(e, ev.Input), events[place:]))
+        outcome = replay([load(tmp_path / "x.ckpt"), *rest])
+        assert (outcome.divergence, outcome.stopped, outcome.events) == (None, "", len(rest) + 1)
+
+
+def test_a_checkpoint_is_checked_and_of_one_module_only(tmp_path: Path) -> None:
+    events = list(runs([CAPTURES])[0].events())
+    path = tmp_path / "x.ckpt"
+    checkpoint_between(events[:100], events[100:], path)
+    data = bytearray(path.read_bytes())
+    data[len(data) // 2] ^= 1
+    (tmp_path / "y.ckpt").write_bytes(data)
+    with pytest.raises(fm.BadCapture, match="not with its checksum"):
+        load(tmp_path / "y.ckpt")
+    good = load(path)
+    with pytest.raises(fm.BadCapture, match="another version of the module"):
+        replay([Checkpoint(good.t, "other", good.state)])
+    evil = zstandard.compress(pickle.dumps(os.system))
+    with pytest.raises(fm.BadCapture, match="none of ours"):
+        replay([Checkpoint(good.t, good.module, evil)])
+
+
+def test_the_bound_on_disk_leaves_a_run_that_replays_from_its_checkpoint(tmp_path: Path) -> None:
+    events = list(runs([CAPTURES / "retry-abuse-1796000000000000000-000000.mlc"])[0].events())
+    made, told = store(tmp_path, segment_bytes=6000, total_bytes=20_000)
+    for n, event in enumerate(events):
+        made.put(event)
+        if n % 400 == 399:
+            settle(made, n - 400)
+            while made._child is not None and made._child.poll() is None:
+                time.sleep(0.01)
+    made.close()
+    assert "the oldest segment is removed" in told
+    assert "no checkpoint before the oldest segment goes" not in told
+    (run,) = runs([tmp_path])
+    assert run.paths[0].name.endswith("-000000.mlc") is False
+    outcome = replay(run.events())
+    assert (outcome.divergence, outcome.stopped, outcome.resumed) == (None, "", True)
+    assert outcome.decisions > 100
+    run.paths[0].with_suffix(".ckpt").unlink()
+    assert "are gone" in replay(run.events()).stopped
+
+
+def test_a_bench_day_is_captured_where_asked_for_and_replays(tmp_path: Path) -> None:
+    settings = {
+        "balancers": 1,
+        "granularity": 0.002,
+        "allowed": {"attempts-cap": 2, "cancel": True, "max-retry-after": 0.5, "retry-after": True},
+        "classes": [{"name": "k", "on-time": 0.5, "give-up": 2.0, "effect": "read_like", "worth": 1.0}],
+        "family-info": {"placement-calls": True, "linger-idle": 8.0, "tells-warm": True},
+        "rules": {"cold-from": 0.2, "cold": 10.0, "fall-multiple": 2.5},
+    }
+    items = [{"runner": f"10.0.0.{n}:1", "status": "U", "heft": 1} for n in range(3)]
+    batches: list[dict[str, Any]] = [
+        {
+            "clock": 5.0,
+            "happened": [
+                {"msg": "hello", "dispatcher": 2, "seed": 9, "profile-data": settings},
+                {"msg": "update", "dispatcher": 2, "index": 1, "form": "C", "items": items},
+            ],
+        }
+    ]
+    for n in range(30):
+        about = {"dispatcher": 2, "ref": f"{n:016x}"}
+        clock = 6 + n / 10
+        task = {"msg": "request", **about, "fn": f"{n % 3:016x}", "band": "k", "give-up-at": clock + 1.5}
+        batches.append(
+            {"clock": clock, "happened": [task, {"msg": "deadline-hit", "dispatcher": 2, "tag": "check"}]}
+        )
+        end = "served" if n % 4 else "no_connection"
+        answer = {
+            "msg": "closed-attempt",
+            **about,
+            "reason": end,
+            "lag": 0.03,
+            "terminal": bool(n % 4),
+            "note": 1,
+        }
+        batches.append({"clock": clock + 0.05, "happened": [answer]})
+    wire = b"".join(msgspec.json.encode(batch) + b"\n" for batch in batches)
+    replies = []
+    for more in ({}, {"MARTENLEAD_CAPTURE": str(tmp_path)}):
+        command = [sys.executable, "-m", "martenlead.benchlink"]
+        done = subprocess.run(
+            command, input=wire, env={**os.environ, **more}, capture_output=True, check=True
+        )
+        replies.append(done.stdout)
+    assert replies[0] == replies[1]
+    assert b"panic" not in replies[0]
+    outcome = replay(runs([tmp_path])[0].events())
+    assert (outcome.divergence, outcome.stopped, outcome.tasks) == (None, "", 30)
