One pass over a message's headers in place of one a line

Cause: a profile: the parser's call for each header line was the dearest of ours. Change: all checks of a head at its end, in one pass; dead names removed.

--- a/martenlead/events/http.py
+++ b/martenlead/events/http.py
@@ -16,22 +16,16 @@
 import httptools
 
 Headers = list[tuple[bytes, bytes]]
-METHODS_WITHOUT_BODY = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
-
-
 CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+FRAMING = frozenset({b"content-length", b"transfer-encoding", b"host", b"expect"})
 
 
 class BadMessage(Exception):
-    """The bytes are no message that may be acted on.
-
-    `status` is what the peer is to be told, `sure` whether the next message's first byte is known all the
-    same.
-    """
+    """The bytes are no message that may be acted on. `status` is what the peer is to be told."""
 
-    def __init__(self, status: int, detail: str, *, sure: bool = False) -> None:
+    def __init__(self, status: int, detail: str) -> None:
         super().__init__(detail)
-        self.status, self.detail, self.sure = status, detail, sure
+        self.status, self.detail = status, detail
 
 
 @dataclass(slots=True, frozen=True)
@@ -120,45 +114,48 @@
         self._message.status = self._parser.get_status_code()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        headers = self._message.headers
-        headers.append((name.lower(), value))
-        self._head += len(name) + len(value)
-        if len(headers) > self.limits.headers or self._head > self.limits.head:
-            self._stop(
-                BadMessage(431, f"the header is over {self.limits.head} bytes or {self.limits.headers} lines")
-            )
-        if CONTROL.search(value):
-            self._stop(BadMessage(400, f"header {name.decode('latin-1')} holds a control byte"))
+        self._message.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        message, parser = self._message, self._parser
+        """All checks in one pass: this is called for every message, and its parts for every line of one."""
+        message, parser, limits = self._message, self._parser, self.limits
         self.in_head = False
         version = parser.get_http_version()
         if version != "1.1":
             self._stop(BadMessage(505, f"HTTP/{version} is not spoken here; HTTP/1.1 is"))
-        names = [name for name, _ in message.headers]
-        if b"content-length" in names and b"transfer-encoding" in names:
-            self._stop(BadMessage(400, "both Content-Length and Transfer-Encoding"))
-        if names.count(b"content-length") > 1 or names.count(b"transfer-encoding") > 1:
-            self._stop(BadMessage(400, "the body's length is told twice"))
-        coding = message.header(b"transfer-encoding")
-        if coding is not None and coding.strip().lower() != b"chunked":
-            self._stop(BadMessage(501, "Transfer-Encoding other than chunked"))
-        length = message.header(b"content-length")
-        if length is not None and int(length) > self.limits.body:
-            self._stop(BadMessage(413, f"the body is over {self.limits.body} bytes"))
+        headers = message.headers
+        framing: dict[bytes, bytes] = {}
+        size = 0
+        for name, value in headers:
+            size += len(name) + len(value)
+            if name in FRAMING:
+                if name in framing:
+                    self._stop(BadMessage(400, f"{name.decode()} is told twice"))
+                framing[name] = value
+        if size > limits.head or len(headers) > limits.headers:
+            self._stop(BadMessage(431, f"the header is over {limits.head} bytes or {limits.headers} lines"))
+        if CONTROL.search(b"".join([value for _, value in headers])):
+            self._stop(BadMessage(400, "a header holds a control byte"))
+        coding, length = framing.get(b"transfer-encoding"), framing.get(b"content-length")
+        if coding is not None:
+            if length is not None:
+                self._stop(BadMessage(400, "both Content-Length and Transfer-Encoding"))
+            if coding.strip().lower() != b"chunked":
+                self._stop(BadMessage(501, "Transfer-Encoding other than chunked"))
+        elif length is not None and int(length) > limits.body:
+            self._stop(BadMessage(413, f"the body is over {limits.body} bytes"))
         message.keep_alive = parser.should_keep_alive()
-        if self.requests:
-            message.method = parser.get_method()
-            if names.count(b"host") != 1:
-                self._stop(BadMessage(400, "exactly one Host header is expected"))
-            expect = message.header(b"expect")
-            if expect is not None:
-                if expect.lower() != b"100-continue":
-                    self._stop(BadMessage(417, "only 100-continue can be expected"))
-                self.continues = True
-        else:
+        if not self.requests:
             message.status = parser.get_status_code()
+            return
+        message.method = parser.get_method()
+        if b"host" not in framing:
+            self._stop(BadMessage(400, "exactly one Host header is expected"))
+        expect = framing.get(b"expect")
+        if expect is not None:
+            if expect.lower() != b"100-continue":
+                self._stop(BadMessage(417, "only 100-continue can be expected"))
+            self.continues = True
 
     def on_body(self, body: bytes) -> None:
         self._size += len(body)
