--- a/martenlead/days/script.py
+++ b/martenlead/days/script.py
@@ -243,7 +243,8 @@
                 for n in range(count):
                     self.fault(n, t, at, "release", models=models)
             case "report_late":
-                pass  # no decision reads reports; the reports' delay is the stand-ins' to tell
+                for n in range(count):
+                    self.fault(n, t, at, "report_late", size=t.size or 2)
             case "burst" | "hot_model" | "hot_caller" | "heavy_tail" | "one_off" | "give_up" | "retry_abuse":
                 size = (
                     t.size
--- a/martenlead/standins/runner.py
+++ b/martenlead/standins/runner.py
@@ -84,6 +84,8 @@
         self.slow = 1.0
         self.lost = self.garbage = self.twice = 0.0
         self.deaf = False
+        self.reports: deque[tuple[int, str]] = deque(maxlen=10_000)  # the first is the one that is told
+        self.report_delay = 0
         self.gate: anyio.Event | None = None  # set when a pause is over
         self.server: Server | None = None
         self.port = part.port
@@ -154,8 +156,12 @@
 
     def told(self, reply: Reply, copy: bytes = b"") -> Reply:
         memory = sum(c.memory * (c.standing + c.loading) for c in self.copies.values())
-        report = f"busy={min(1.0, self.running / self.part.cores):.2f},x0={memory / self.part.memory_mb:.2f}"
-        reply.headers.append((b"martenlead-report", f"{report},x1={self.loads}".encode()))
+        busy = min(1.0, self.running / self.part.cores)
+        now = monotonic_ns()
+        self.reports.append((now, f"busy={busy:.2f},x0={memory / self.part.memory_mb:.2f},x1={self.loads}"))
+        while len(self.reports) > 1 and self.reports[1][0] <= now - self.report_delay:
+            self.reports.popleft()
+        reply.headers.append((b"martenlead-report", self.reports[0][1].encode()))
         if copy and self.part.tells_warm:
             reply.headers.append((b"martenlead-copy", copy))
         if self.draining:
@@ -440,6 +446,10 @@
                 self.gate = None
             case "drain":
                 self.draining = True
+            case "report_late":
+                self.report_delay = int(fault.size * 1e9)
+                await anyio.sleep(fault.for_ms / 1000)
+                self.report_delay = 0
             case "vanish":
                 self.vanish()
             case "start":
