Layers: images in chunks, a cache that survives kills, and the choice of sources

Need: each load fetches the whole model, and a release pushes the vault over. Change: OCI image layouts of content-defined chunks; chunks on disk by rename, checked when read; one chooser a box without any word between boxes. The agent on sockets is still to come.

--- a/martenlead/cli/main.py
+++ b/martenlead/cli/main.py
@@ -11,6 +11,7 @@
 from martenlead.cli.config import config
 from martenlead.cli.day import day
 from martenlead.cli.edge import edge
+from martenlead.cli.layers import layers
 from martenlead.cli.standin import standin
 from martenlead.config.load import BadConfig
 
@@ -21,7 +22,7 @@
     """A gateway that runs tasks on runners which load models on demand."""
 
 
-for command in (edge, day, config, standin, call, replay_command, capture):
+for command in (edge, day, config, standin, call, replay_command, capture, layers):
     commands.add_command(command)
 
 
--- /dev/null
+++ b/martenlead/layers/cache.py
@@ -0,0 +1,170 @@
+"""Chunks on a box's disk: bounded, checked, and whole after a kill at any byte.
+
+A chunk is a file `chunks/AB/HEX` named by its digest and put there by a rename: it is there whole or not at
+all, and the folder is its own index. The time of last use is the file's time of change, so that a restart
+knows it without reading a chunk. What fails its check goes to `aside/` and counts as missing. The rule of
+eviction: the chunk that was used least lately and is not pinned goes first.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import os
+import time
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from martenlead.layers.image import DIGEST, BadImage, check
+
+VERSION = "1"
+TOUCH_S = 60.0  # a use is written to disk at most so often
+
+
+class Refused(Exception):
+    """The folder is in use, or of another version; says which."""
+
+
+class NoRoom(Exception):
+    """All that is there is pinned, or the disk is full."""
+
+
+class Cache:
+    """One process's. Not for several threads at once."""
+
+    def __init__(self, folder: Path, most: int) -> None:
+        """`most`: bytes of chunks. Raises `Refused` and OSError. Reads no chunk."""
+        self.folder, self.most = folder, most
+        self.chunks, self.aside = folder / "chunks", folder / "aside"
+        for made in (self.chunks, self.aside):
+            made.mkdir(parents=True, exist_ok=True)
+        self._lock = open(folder / "lock", "w")  # noqa: SIM115
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            self._lock.close()
+            raise Refused(f"{folder}: another agent uses it") from None
+        version = folder / "version"
+        told = version.read_text().strip() if version.exists() else ""
+        if told not in ("", VERSION):
+            self._lock.close()
+            raise Refused(f"{folder}: of version {told}; this program knows version {VERSION}")
+        version.write_text(VERSION)
+        self.size = 0
+        self._known: OrderedDict[str, int] = OrderedDict()  # by last use
+        self._touched: dict[str, float] = {}
+        self._pins: dict[str, int] = {}
+        self.set_aside = self.evicted = 0
+        self._scan()
+
+    def _scan(self) -> None:
+        found = []
+        for part in os.scandir(self.chunks):
+            for entry in os.scandir(part.path):
+                if len(entry.name) == 64:
+                    stat = entry.stat()
+                    found.append((stat.st_mtime, "sha256:" + entry.name, stat.st_size))
+                else:  # begun and never renamed
+                    os.unlink(entry.path)
+        for _, digest, size in sorted(found):
+            self._known[digest] = size
+            self.size += size
+        self._shrink(0)
+
+    def close(self) -> None:
+        self._lock.close()
+
+    def path(self, digest: str) -> Path:
+        if not DIGEST.match(digest):
+            raise BadImage(f"{digest[:80]!r}: a sha256 digest was expected")
+        return self.chunks / digest[7:9] / digest[7:]
+
+    def __contains__(self, digest: str) -> bool:
+        return digest in self._known
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._known)
+
+    def get(self, digest: str) -> bytes | None:
+        """A chunk, checked; None where it is not there. One that fails its check is set aside and not
+        there."""
+        if digest not in self._known:
+            return None
+        path = self.path(digest)
+        try:
+            data = path.read_bytes()
+            check(data, digest)
+        except (OSError, BadImage):
+            self._forget(digest)
+            self.set_aside += 1
+            try:
+                os.replace(path, self.aside / f"{digest[7:]}.{time.time_ns()}")
+            except OSError:
+                path.unlink(missing_ok=True)
+            self._bound_aside()
+            return None
+        self._use(digest, path)
+        return data
+
+    def _bound_aside(self) -> None:
+        """What was set aside is kept for whoever looks into it, the latest few of it."""
+        for path in sorted(self.aside.iterdir(), key=lambda p: p.stat().st_mtime)[:-16]:
+            path.unlink(missing_ok=True)
+
+    def _use(self, digest: str, path: Path) -> None:
+        self._known.move_to_end(digest)
+        now = time.monotonic()
+        if now - self._touched.get(digest, -TOUCH_S) >= TOUCH_S:
+            self._touched[digest] = now
+            os.utime(path)
+
+    def put(self, digest: str, data: bytes) -> None:
+        """Keeps a chunk. Raises `BadImage` for other bytes, `NoRoom`; then nothing has changed but what was
+        evicted."""
+        check(data, digest)
+        if digest in self._known:
+            return
+        self._shrink(len(data))
+        path = self.path(digest)
+        temporary = path.with_name(f"{path.name}.new")
+        try:
+            path.parent.mkdir(exist_ok=True)
+            with open(temporary, "wb") as file:
+                file.write(data)
+            os.replace(temporary, path)
+        except OSError as error:
+            temporary.unlink(missing_ok=True)
+            raise NoRoom(f"{self.folder}: {error.strerror}") from None
+        self._known[digest] = len(data)
+        self.size += len(data)
+
+    def _shrink(self, room: int) -> None:
+        if self.size + room <= self.most:
+            return
+        for digest in list(self._known):
+            if digest not in self._pins:
+                self.path(digest).unlink(missing_ok=True)
+                self._forget(digest)
+                self.evicted += 1
+                if self.size + room <= self.most:
+                    return
+        raise NoRoom(f"{self.folder}: {self.size} bytes are in use of {self.most}")
+
+    def _forget(self, digest: str) -> None:
+        self.size -= self._known.pop(digest)
+        self._touched.pop(digest, None)
+
+    @contextmanager
+    def pinned(self, digests: Iterable[str]) -> Iterator[None]:
+        """None of these goes while a load needs them, also those that are still to come."""
+        held = list(digests)
+        for digest in held:
+            self._pins[digest] = self._pins.get(digest, 0) + 1
+        try:
+            yield
+        finally:
+            for digest in held:
+                self._pins[digest] -= 1
+                if not self._pins[digest]:
+                    del self._pins[digest]
