--- a/martenlead/cli/layers.py
+++ b/martenlead/cli/layers.py
@@ -1,11 +1,17 @@
 from __future__ import annotations
 
+import signal
 import sys
 from pathlib import Path
 
+import anyio
 import click
 
+from martenlead.config.load import BadConfig, load
+from martenlead.events.server import listen
 from martenlead.layers import image
+from martenlead.layers.agent import Agent, AgentSettings
+from martenlead.layers.cache import Cache, Refused
 
 
 @click.group()
@@ -70,3 +76,30 @@
     share = told.fetched / told.stored if told.stored else 0.0
     chunks = f"{told.shared_chunks} of {told.chunks} chunks shared"
     click.echo(f"{chunks}; {told.fetched} of {told.stored} bytes to fetch ({share:.1%})")
+
+
+@layers.command()
+@click.argument("config", type=click.Path(path_type=Path))
+def agent(config: Path) -> None:
+    """Run a box's agent. Its port is told as JSON on standard output; SIGTERM ends it."""
+    settings = load(config, AgentSettings)
+    try:
+        cache = Cache(Path(settings.cache), settings.cache_bytes)
+    except (Refused, OSError) as error:
+        raise BadConfig(f"{config}: $.cache: {error}") from None
+
+    async def serve() -> None:
+        own = Agent(settings, cache)
+        listener, port = await listen("127.0.0.1", settings.port)
+        click.echo(f'{{"ready": {{"port": {port}}}}}')
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async with anyio.create_task_group() as group:
+                group.start_soon(own.run, listener)
+                await anext(signals)
+                own.server.drain()
+                group.cancel_scope.cancel()
+
+    try:
+        anyio.run(serve, backend_options={"use_uvloop": True})
+    finally:
+        cache.close()
--- a/martenlead/events/server.py
+++ b/martenlead/events/server.py
@@ -8,8 +8,8 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import suppress
+from collections.abc import AsyncGenerator, Awaitable, Callable
+from contextlib import aclosing, suppress
 from dataclasses import dataclass
 from time import monotonic_ns
 
@@ -28,7 +28,7 @@
 
     status: int
     headers: Headers
-    body: bytes | AsyncIterator[bytes] = b""
+    body: bytes | AsyncGenerator[bytes] = b""
     close: bool = False
 
 
@@ -277,10 +277,11 @@
             await self.stream.send(response(reply.status, headers, reply.body))
             return
         await self.stream.send(response(reply.status, [*headers, (b"transfer-encoding", b"chunked")], None))
-        async for part in reply.body:
-            self.writing = monotonic_ns()
-            await self.stream.send(chunk(part))
-            self.writing = 1 << 62  # between two parts nobody is to blame
+        async with aclosing(reply.body) as parts:  # its end is told also where the peer has gone
+            async for part in parts:
+                self.writing = monotonic_ns()
+                await self.stream.send(chunk(part))
+                self.writing = 1 << 62  # between two parts nobody is to blame
         await self.stream.send(chunk(b""))
 
     async def _linger(self) -> None:
--- a/martenlead/standins/roster.py
+++ b/martenlead/standins/roster.py
@@ -3,7 +3,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from time import monotonic_ns
 from typing import Any
 from urllib.parse import parse_qs
@@ -66,7 +66,7 @@
         edge = (message.header(b"user-agent") or b"").decode().removeprefix("martenlead/")
         return Reply(200, [(b"content-type", b"application/x-ndjson")], self.stream(edge, after))
 
-    async def stream(self, edge: str, after: int) -> AsyncIterator[bytes]:
+    async def stream(self, edge: str, after: int) -> AsyncGenerator[bytes]:
         encode = msgspec.json.encode
         at = after
         while monotonic_ns() >= self.away_until:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -4,7 +4,7 @@
 
 import json
 import struct
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 from socket import SO_LINGER, SOL_SOCKET
 from typing import Any
@@ -170,7 +170,12 @@
         whole = {"version": self.version, "whole": True, "runners": lines}
         send.send_nowait(json.dumps(whole).encode() + b"\n")
         self._news.append(send)
-        return Reply(200, [], receive)
+
+        async def lines() -> AsyncGenerator[bytes]:
+            async for line in receive:
+                yield line
+
+        return Reply(200, [], lines())
 
     async def call(
         self, kind: str = "estimate", *, left: float | None = 1500, ident: str = "", **more: Value
--- a/tests/swarm.py
+++ b/tests/swarm.py
@@ -154,7 +154,8 @@
                 return
             waits = False
             if want.failure:
-                answer(End.MISSING if want.failure is Failure.MISSING else End.AWAY)
+                words = {Failure.MISSING: End.MISSING, Failure.LATE: End.WAIT}
+                answer(words.get(want.failure, End.AWAY))
             else:
                 self.send(answer)
 
