--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -439,3 +439,29 @@
     assert b"panic" not in replies[0]
     outcome = replay(runs([tmp_path])[0].events())
     assert (outcome.divergence, outcome.stopped, outcome.tasks) == (None, "", 30)
+
+
+def test_a_capture_of_another_module_is_a_what_if_and_no_divergence(tmp_path: Path) -> None:
+    events = list(runs([CAPTURES])[0].events())
+    assert isinstance(events[0], ev.Start)
+    other = msgspec.structs.replace(events[0], module="another")
+    made, _ = store(tmp_path)
+    for event in [other, *events[1:]]:
+        made.put(event)
+    made.close()
+    told = CliRunner().invoke(commands, ["replay", str(tmp_path)])
+    assert told.exit_code == 0
+    assert "what if this module had decided" in told.output
+    assert "0 first elsewhere, 0 not handed off at all" in told.output
+
+
+def test_the_index_tells_of_each_task_where_it_stands() -> None:
+    data = (CAPTURES / "drain-1796000000000000000-000000.mlc").read_bytes()
+    found = fm.Segment(data)
+    frames = {frame.at: frame for frame in found.frames()}
+    index = found.index()
+    assert found.closed
+    assert [entry.at for entry in index] == list(frames)
+    for entry in index:
+        tasks = {n for event in frames[entry.at].events() if (n := ev.task_of(event)) is not None}
+        assert tasks == set(entry.tasks)
