--- a/martenlead/days/script.py
+++ b/martenlead/days/script.py
@@ -13,6 +13,7 @@
 from msgspec import Meta
 
 from martenlead.standins import settings as told
+from martenlead.standins.settings import Part
 
 Positive = Annotated[float, Meta(gt=0)]
 NotNegative = Annotated[float, Meta(ge=0)]
@@ -37,10 +38,6 @@
 KINDS = [*OF_RUNNERS, *OF_CLIENTS, *OF_DISPATCHERS, "roster_away", "vault_stop"]
 
 
-class Part(msgspec.Struct, forbid_unknown_fields=True, kw_only=True, frozen=True):
-    """A group of a script's settings."""
-
-
 class Kind(Part, frozen=True, kw_only=True):
     cores: Positive = 4
     speed: Positive = 1
@@ -97,9 +94,11 @@
     edges: Count = 2
     clients: Coming = Coming()
     offerings: Annotated[list[told.OfferingPart], Meta(min_length=1)]
-    customers: list[told.CustomerPart] = []
+    customers: list[told.CustomerPart] = msgspec.field(default_factory=list)
     quota_per_s: NotNegative = 0
-    edge: dict[str, Any] = {}  # settings of the edges, as `martenlead edge` takes them
+    edge: dict[str, Any] = msgspec.field(
+        default_factory=dict
+    )  # settings of the edges, as `martenlead edge` takes them
     cold_from: Share = 0.2
     cold_ms: Positive = 8000
     fall_multiple: Positive = 2.5
@@ -109,7 +108,7 @@
     roster_lag_ms: tuple[float, float] = (200, 1500)
     vault: Vault = Vault()
     capture: bool = False  # each edge captures, into the day's folder
-    troubles: list[Trouble] = []
+    troubles: list[Trouble] = msgspec.field(default_factory=list)
 
 
 class EdgeEvent(msgspec.Struct):
--- a/martenlead/edge/dispatcher.py
+++ b/martenlead/edge/dispatcher.py
@@ -140,7 +140,7 @@
         self.edge, self.clock = edge, clock
         told, self.offerings, self.customers = settings(edge)
         self.hard = {o.name: ns(o.hard_limit_ms) for o in edge.offerings}
-        self.border_calls_off = told.call_off
+        self.calls_off = told.call_off
         self.tick, self.margin = told.tick, ns(edge.margin_ms)
         seed = edge.seed if edge.seed is not None else int.from_bytes(Random().randbytes(8), "big")
         names = list(self.offerings), self.customers
@@ -165,12 +165,11 @@
         self._changed = anyio.Event()
         self._until = 0
         self._guarding = False
-        self.emptied = anyio.Event()
         self.listed = anyio.Event()
 
     # -- life
 
-    async def run(self, ready: Callable[[], None] | None = None) -> None:
+    async def run(self) -> None:
         """Until cancelled. Starts with the list kept on disk, if there is one."""
         async with anyio.create_task_group() as group:
             self.group = group
@@ -188,8 +187,6 @@
             group.start_soon(self._keep_lists)
             if self.edge.probes:
                 group.start_soon(self._probe_all, ns(self.edge.probes.every_ms))
-            if ready:
-                ready()
 
     async def _timers(self) -> None:
         while True:
@@ -388,16 +385,15 @@
             self.held[task] = held
 
         customer = self.customers.get(wanted.customer or "")
-        self.border.take(
-            known.model,
-            self.offerings[wanted.offering],
-            customer,
-            arrived + left,
-            wanted.again,
-            wanted.cost,
-            note,
-            " ".join(wanted.event.mark),
-        )
+        offering, name = self.offerings[wanted.offering], " ".join(wanted.event.mark)
+        give_up = arrived + left
+        try:
+            self.border.take(known.model, offering, customer, give_up, wanted.again, wanted.cost, note, name)
+        except Exception as error:
+            self._fault(error)
+            if held.task is None or not held.task.hand_offs:  # nothing was sent: no need to wait for `_guard`
+                held.why = "a fault of the dispatcher"
+                held.end(Final.TURNED_BACK)
         held.opening = False
         self._rearm()
         return held
@@ -435,9 +431,10 @@
             if held.final is not Final.LEFT:
                 left = task.give_up - self.clock()
                 self.closest = left if self.closest is None else min(self.closest, left)
-        self.border.closed(task, held.final.value if held.final else "")
-        if not self.held:
-            self.emptied.set()
+        try:
+            self.border.closed(task, held.final.value if held.final else "")
+        except Exception as error:
+            self._fault(error)
 
     def _outlet(self, action: Action) -> None:
         """Carries out one decision. Nothing here calls the module back: it is in the middle of deciding."""
@@ -445,7 +442,7 @@
             case HandOff(task=task, runner=runner):
                 held, box, scope = self.held[task], self.by_runner[runner], anyio.CancelScope()
                 self._scopes[action] = scope
-                if held.opening and self.border_calls_off:
+                if held.opening and self.calls_off:
                     held.first = action, box, scope
                     held.opening = False
                 else:
--- a/martenlead/events/server.py
+++ b/martenlead/events/server.py
@@ -23,8 +23,7 @@
 
 @dataclass(slots=True)
 class Reply:
-    """What a handler answers: with an iterator the body is sent in chunks as they come, and the connection
-    ends."""
+    """What a handler answers; with a generator the body is sent in chunks as they come."""
 
     status: int
     headers: Headers
--- a/tests/days/lost-and-late.jsonnet
+++ b/tests/days/lost-and-late.jsonnet
@@ -1,4 +1,4 @@
-// Short: answers are lost and garbled, runners vanish, and the roster is away.
+// Short: answers are lost and garbled, a whole zone vanishes, and the roster is away.
 local day = import 'day.libsonnet';
 day {
   name: 'lost-and-late',
@@ -8,7 +8,7 @@
   troubles: [
     day.trouble('answer_lost', 1, 4) { part: 0.4 },
     day.trouble('garbage', 1.5, 3) { part: 0.3 },
-    day.trouble('vanish', 2, 2) { part: 0.2 },
+    day.trouble('zone_loss', 2.5, 1.5),
     day.trouble('roster_away', 2, 3),
     day.trouble('give_up', 2, 4),
   ],
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -50,7 +50,7 @@
         assert (status, told["final"], len(f.arrivals)) == (503, "turned back", 2)
 
 
-@pytest.mark.parametrize("left", [0, 1, 8])
+@pytest.mark.parametrize("left", [0, 1, 20])
 async def test_little_time_left_is_answered_at_once_and_sent_nowhere(left: float) -> None:
     async with fleet() as f:
         for kind in ("estimate", "post", "notice"):
@@ -61,7 +61,7 @@
         assert not f.arrivals
 
 
-async def test_a_task_with_twenty_ms_left_has_its_answer_in_time_or_is_given_up() -> None:
+async def test_a_task_with_forty_ms_left_has_its_answer_in_time_or_is_given_up() -> None:
     async with fleet({"a": [after(300, satisfied)]}) as f:
         status, told = await f.call("notice", left=40)
         assert (status, told["final"]) in ((504, "scrapped"), (503, "turned back"))
@@ -411,3 +411,18 @@
         assert held.final is None
         f.dispatcher._rearm()  # as after any call of the border
         assert held.final is not None
+
+
+async def test_a_fault_as_a_task_is_taken_leaves_nothing_held(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with fleet() as f:
+
+        def fails(*_: object) -> None:
+            raise ZeroDivisionError
+
+        monkeypatch.setattr(f.dispatcher.border._brain, "place", fails)
+        status, told = await f.call("notice")
+        assert (status, told["final"], f.arrivals) == (503, "turned back", [])
+        assert not f.dispatcher.held
+        assert f.dispatcher.bytes == 0
+        monkeypatch.undo()
+        assert (await f.call("notice", model="other"))[0] == 200
