--- a/martenlead/edge/dispatcher.py
+++ b/martenlead/edge/dispatcher.py
@@ -1,52 +1,49 @@
 """Tells the module what happens and carries out what it decides. It decides nothing itself.
 
-A task's way: `take` makes it known to the module, whose generator asks for hand-offs through `_outlet`; each
-runs as a task of the one group (`_carry`); its end goes back as an `Answer`; the final answer is set on
-`Held` and leaves by the door.
+A task's way: `take` makes it known to the module, whose generator asks for hand-offs through `_outlet`; the
+link carries each to its runner and reports its end by `ended`, which goes back as an `Answer`; the final
+answer is set on `Held`, whose `done` tells the door. Here stand the objects that ids mean, the timers, the
+held tasks and the border; what is spoken with clients, runners and the roster is known to the doors, links
+and sources alone.
 """
 
 from __future__ import annotations
 
-import time
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from enum import Enum
-from pathlib import Path
 from random import Random
 from time import monotonic_ns
-from typing import Any
+from typing import Any, Protocol
 
 import anyio
-import anyio.to_thread
 import msgspec
 import structlog
-from anyio.abc import TaskGroup
 
-from martenlead.config.edge import Edge, ns, settings
 from martenlead.edge.border import Border, Tape
-from martenlead.edge.protocol import Wanted
-from martenlead.events import http
-from martenlead.events.client import Exchange, Pool, Sending
 from martenlead.interface import (
     Action,
     Answer,
     AskRoster,
     CallOff,
+    Customer,
     HandOff,
     ModelFacts,
+    Offering,
     Order,
     Result,
     RunnerFacts,
     Scrap,
+    Settings,
     State,
     Task,
     TurnBack,
     Wait,
 )
-from martenlead.runnerlink import orders, outcomes, roster
-from martenlead.runnerlink.follow import follow
+from martenlead.runnerlink.heard import Heard
+from martenlead.runnerlink.roster import Line, List
 
-RELAYED_ANEW = frozenset({b"ce-timeleftms", b"ce-handoff"})
 STATES = {"up": State.UP, "draining": State.DRAINING, "gone": State.GONE}
 
 
@@ -59,65 +56,67 @@
     LEFT = "left"
 
 
+@dataclass(slots=True)
+class Wanted:
+    """A task as a door has read it; times are ns, `cost` is seconds, `left` is from when it was read. `id` is
+    its client's, `mark` names it on tapes."""
+
+    offering: str
+    model: str
+    customer: str | None
+    lanes: int
+    memory_mb: float
+    cost: float
+    left: int | None
+    again: bool
+    id: str = ""
+    mark: str = ""
+
+
 class Held:
-    """A task at the door: what came, and its final answer once there is one."""
-
-    __slots__ = (
-        "answer",
-        "arrived",
-        "body",
-        "done",
-        "final",
-        "first",
-        "headers",
-        "lines",
-        "opening",
-        "task",
-        "wait",
-        "wanted",
-        "why",
-    )
-
-    def __init__(self, wanted: Wanted, arrived: int, headers: http.Headers, body: bytes) -> None:
-        self.wanted = wanted
-        self.arrived = arrived
+    """A task at the door: what came, and its final answer once there is one. `content` is the door's and the
+    link's: what came, in the form that the link sends on; `answer` is what the link brought back for it."""
+
+    __slots__ = ("answer", "arrived", "content", "done", "final", "size", "task", "wait", "wanted", "why")
+
+    def __init__(
+        self,
+        wanted: Wanted,
+        arrived: int,
+        content: Any = None,
+        size: int = 0,
+        done: Callable[[Held], None] | None = None,
+    ) -> None:
+        self.wanted, self.arrived = wanted, arrived
+        self.content, self.size = content, size
         self.task: Task | None = None
         self.final: Final | None = None
-        self.answer: http.Message | None = None
+        self.answer: Any = None
         self.wait = 0
         self.why = ""
-        self.done: anyio.Event | None = None  # for whoever waits
-        self.headers, self.body = headers, body
-        self.lines: bytes | None = None  # of the event's headers, as every hand-off sends them
-        self.opening = True  # the module is deciding on the first hand-off
-        self.first: tuple[HandOff, Box, anyio.CancelScope] | None = None
+        self.done = done
 
     def end(self, final: Final) -> None:
-        """The first of its calls counts. Wakes who waits, be it for the end or for the first hand-off."""
+        """The first of its calls counts. `done` may be told in the middle of a decision: it calls nothing of
+        the dispatcher's but `later`."""
         if self.final is not None:
             return
         self.final = final
         if self.done is not None:
-            self.done.set()
-        if self.first is not None:
-            self.first[2].cancel()
-
-    async def ended(self) -> None:
-        while self.final is None:
-            self.done = anyio.Event()
-            await self.done.wait()
+            self.done(self)
 
 
 class Box:
-    """A runner as this process knows it: the module's object, its line in the roster, its connections."""
+    """A runner as this process knows it: the module's object, its line in the roster, the way there."""
 
-    def __init__(self, line: roster.Line, pool: Pool) -> None:
-        self.line, self.pool = line, pool
+    def __init__(self, line: Line, way: Any) -> None:
+        self.line, self.way = line, way
         self.runner: Any = None
-        self.host = f"{line.host}:{line.port}".encode()
         self.since = 0
         self.drains = ""  # the life that said so itself
         self.reported: dict[str, float] = {}
+        self.out = 0  # hand-offs and orders whose end has not come
+        self.gone = False
 
     def facts(self, state: State, since: int, weight: float) -> RunnerFacts:
         line = self.line
@@ -128,68 +127,133 @@
 class Known:
     """A model: the module's object and its name."""
 
-    __slots__ = ("lanes", "memory_mb", "model", "name")
+    __slots__ = ("lanes", "memory_mb", "model", "name", "open")
 
     def __init__(self, name: str, model: Any, lanes: int, memory_mb: float) -> None:
         self.name, self.model, self.lanes, self.memory_mb = name, model, lanes, memory_mb
+        self.open = 0  # tasks held
+
+
+class Out:
+    """A hand-off on its way. `at` is the link's own."""
+
+    __slots__ = ("at", "box", "hand_off", "held", "number")
+
+    def __init__(self, hand_off: HandOff, held: Held, box: Box, number: int) -> None:
+        self.hand_off, self.held, self.box, self.number = hand_off, held, box, number
+        self.at: Any = None
+
+
+class Way(Protocol):
+    """What a link has open to one runner, and has opened in all."""
+
+    @property
+    def open(self) -> int: ...
+    @property
+    def opened(self) -> int: ...
+
+
+class Link(Protocol):
+    """Carries hand-offs and orders to runners. Each has exactly one end: of a hand-off by `Dispatcher.ended`,
+    of an order by what was given with it. Ends may be told at any time, from within these calls too."""
+
+    def use(self, dispatcher: Dispatcher) -> None:
+        """Before all else: who is told."""
+
+    async def run(self) -> None:
+        """Until cancelled."""
+
+    def way(self, line: Line) -> Any:
+        """To a runner at this address; nothing is opened yet. A `Way`."""
+
+    def leave(self, way: Any) -> None:
+        """Nothing new will be sent there; what is open ends as it would."""
+
+    def hand_off(self, out: Out) -> None: ...
+
+    def call_off(self, out: Out) -> None:
+        """It still has its one end, be it an answer that was on its way."""
+
+    def order(self, box: Box, known: Known, copies: int, told: Callable[[Heard], None]) -> None: ...
+
+
+class Source(Protocol):
+    """Where news of the roster come from."""
+
+    list: List
+
+    async def run(self, dispatcher: Dispatcher) -> None:
+        """Tells `Dispatcher.news` until cancelled."""
+
+
+@dataclass(slots=True)
+class About:
+    """What a dispatcher is told at its start. Times are ns; `hard` are the offerings' hard limits; `margin`
+    is taken off the time that a client says is left; `models` may be known at once."""
+
+    name: str
+    seed: int
+    settings: Settings
+    offerings: dict[str, Offering]
+    customers: dict[str, Customer]
+    hard: dict[str, int]
+    margin: int
+    models: int
+    decisions: bool = False  # a line a decision
 
 
 class Dispatcher:
-    """One `Engine` and the sockets around it. `run` holds its task group; all else is called inside it."""
-
-    def __init__(self, edge: Edge, clock: Callable[[], int] = monotonic_ns, tape: Tape | None = None) -> None:
-        self.edge, self.clock = edge, clock
-        told, self.offerings, self.customers = settings(edge)
-        self.hard = {o.name: ns(o.hard_limit_ms) for o in edge.offerings}
-        self.calls_off = told.call_off
-        self.tick, self.margin = told.tick, ns(edge.margin_ms)
-        seed = edge.seed if edge.seed is not None else int.from_bytes(Random().randbytes(8), "big")
+    """One `Engine` and what is around it. `run` holds its task group; all else is called inside it."""
+
+    def __init__(
+        self,
+        about: About,
+        link: Link,
+        source: Source,
+        clock: Callable[[], int] = monotonic_ns,
+        tape: Tape | None = None,
+    ) -> None:
+        self.about, self.link, self.source, self.clock = about, link, source, clock
+        told = about.settings
+        self.offerings, self.customers, self.hard = about.offerings, about.customers, about.hard
+        self.tick, self.margin = told.tick, about.margin
         names = list(self.offerings), self.customers
-        self.border = Border(told, seed, clock, self._outlet, tape, names)
-        self.chance = Random(seed)
-        self.log = structlog.get_logger().bind(edge=edge.name)
-        self.agent = f"martenlead/{edge.name}".encode()
+        self.border = Border(told, about.seed, clock, self._outlet, tape, names)
+        self.chance = Random(about.seed)
+        self.log = structlog.get_logger().bind(edge=about.name)
         self.boxes: dict[str, Box] = {}
         self.by_runner: dict[Any, Box] = {}
-        self.models: dict[str, Known] = {}
+        self.models: dict[str, Known] = {}  # the last used last
         self.by_model: dict[Any, Known] = {}
         self.held: dict[Task, Held] = {}
         self.bytes = 0
-        self.list = roster.List()
+        self.list = source.list
         self.counts: Counter[tuple[str, str]] = Counter()
         self.closest: int | None = None  # least time left at a final answer, ns
         self.worst_lag = 0
-        self.group: TaskGroup | None = None
-        self._scopes: dict[HandOff, anyio.CancelScope] = {}
-        self._called_off: set[HandOff] = set()
+        self._out: dict[HandOff, Out] = {}
+        self._later: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()
+        self._busy = False  # the module is deciding, or what waits for that is being done
         self._sooner = anyio.Event()
-        self._changed = anyio.Event()
         self._until = 0
-        self._guarding = False
+        self._faulty = anyio.Event()
+        self.faults = 0
         self.listed = anyio.Event()
         self.about_planner: Callable[[], dict[str, Any]] | None = None
         self.about_door: Callable[[], dict[str, Any]] | None = None
+        link.use(self)
 
     # -- life
 
     async def run(self) -> None:
-        """Until cancelled. Starts with the list kept on disk, if there is one."""
+        """Until cancelled."""
         async with anyio.create_task_group() as group:
-            self.group = group
-            path = self.edge.roster.kept
-            found = roster.kept(Path(path)) if path else None
-            if found is not None:
-                self.list.version = 0  # whatever was missed since is asked for whole
-                self.list.lines = {line.id: line for line in found.runners}
-                self._news(list(self.list.lines.values()), True)
-                self.log.info("starts with the kept list", runners=len(found.runners))
             self.border.begin()
             group.start_soon(self._timers)
             group.start_soon(self._pulse)
-            group.start_soon(self._watch_roster)
-            group.start_soon(self._keep_lists)
-            if self.edge.probes:
-                group.start_soon(self._probe_all, ns(self.edge.probes.every_ms))
+            group.start_soon(self._guard)
+            group.start_soon(self.link.run)
+            group.start_soon(self.source.run, self)
 
     async def _timers(self) -> None:
         while True:
@@ -201,20 +265,20 @@
                     await self._sooner.wait()
             if self._sooner.is_set():
                 self._sooner = anyio.Event()
-            self._advance()
+            self._rearm()
             await anyio.sleep(0)
 
-    def _fault(self, error: Exception) -> None:
+    def fault(self, error: Exception) -> None:
         """An exception where none should be, of the module or ours: it is told, and costs no other task
         anything. The task that it left without a wait is ended by `_guard`."""
         self.log.error("a fault of ours", exc_info=error)
         self.counts["fault", type(error).__name__] += 1
-        if not self._guarding:
-            self._guarding = True
-            self._soon(self._guard)
+        self.faults += 1
+        self._faulty.set()
 
     async def _guard(self) -> None:
         """After a fault: no task is held past its time, whatever became of its generator."""
+        await self._faulty.wait()
         while True:
             await anyio.sleep(0.005)
             late = self.clock() + self.tick
@@ -222,23 +286,54 @@
                 if late > task.give_up and held.final is None:
                     held.why = "a fault of the dispatcher"
                     held.end(Final.TURNED_BACK if self.border.may_turn_back(task) else Final.SCRAPPED)
+            self._rearm()
+
+    def later(self, work: Callable[..., None], *args: Any) -> None:
+        """Does it once the module has decided, or at once if it is not deciding. In the middle of a decision
+        the module may not be called back: its generator is running."""
+        self._later.append((work, args))
+        if not self._busy:
+            self._rearm()
 
     def _rearm(self) -> None:
-        """After each call of the border. What is due is done here and now: a busy loop comes to its timers
-        late, and behind all that is ready already."""
+        """After each call of the border: what had to wait for its end, and what is due. That is done here and
+        now: a busy loop comes to its timers late, and behind all that is ready already."""
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while True:
+                if self._later:
+                    work, args = self._later.popleft()
+                    work(*args)
+                    continue
+                due = self.border.due()
+                if due is None or due > self.clock():
+                    break
+                self.border.advance()
+        except Exception as error:
+            self.fault(error)
+            if self._later:  # one that fails costs no other its turn
+                self._sooner.set()
+        finally:
+            self._busy = False
         due = self.border.due()
-        if due is not None and due <= self.clock():
-            self._advance()
-            due = self.border.due()
         if due is not None and due < self._until:
             self._until = due
             self._sooner.set()
 
-    def _advance(self) -> None:
+    def _decide(self, call: Callable[..., Any], *args: Any) -> Any:
+        """One call of the border, whose decisions come through `_outlet` meanwhile; None after a fault."""
+        nested, self._busy = self._busy, True
         try:
-            self.border.advance()
+            return call(*args)
         except Exception as error:
-            self._fault(error)
+            self.fault(error)
+            return None
+        finally:
+            self._busy = nested
+            if not nested:
+                self._rearm()
 
     async def _pulse(self) -> None:
         """The tick is what the event loop achieves: the worst of the last second, halved as it fades."""
@@ -259,72 +354,35 @@
 
     # -- the roster
 
-    async def _watch_roster(self) -> None:
-        def told(news: roster.News) -> None:
-            self._news(news.runners or [], news.whole)
-            self._changed.set()
-
-        def lost(why: str) -> None:
-            self.counts["roster", "lost"] += 1
-            self.log.warning("no roster; the last list stands", why=why, runners=len(self.list.lines))
-
-        await follow(
-            self.edge.roster,
-            self.agent,
-            self.list,
-            told=told,
-            lost=lost,
-            fault=self._fault,
-            pick=self.chance.random,
-        )
-
-    async def _keep_lists(self) -> None:
-        """Writes the list whenever it has changed: off the event loop, since a disk may take its time, and
-        only the latest, however many came meanwhile."""
-        path = self.edge.roster.kept
-        if not path:
-            return
-        while True:
-            await self._changed.wait()
-            self._changed = anyio.Event()
-            now = self.clock()
-            kept = []
-            for line in self.list.lines.values():
-                since = self.boxes[line.id].since
-                kept.append(msgspec.structs.replace(line, age_ms=(now - since) / 1e6 if since else None))
-            try:
-                whole = roster.Kept(self.list.version, time.time(), kept)
-                await anyio.to_thread.run_sync(roster.keep, Path(path), whole)
-            except OSError as error:
-                self.log.warning("the list could not be kept", why=str(error))
-
-    def _news(self, told: list[roster.Line], whole: bool) -> None:
+    def news(self, told: list[Line], whole: bool) -> None:
+        """What a source was told, of changes or of the whole list."""
         news = []
         now = self.clock()
+        gone = []
+        if whole:
+            listed = {line.id for line in told}
+            gone = [box for name, box in self.boxes.items() if name not in listed]
         for line in told:
             box = self.boxes.get(line.id)
+            if box is not None and box.gone and line.state != "gone":
+                box = None  # another process under that id: what is out at the one before is not its own
             if box is None or (
                 line.state != "gone" and (line.host, line.port) != (box.line.host, box.line.port)
             ):
                 if line.state == "gone":
                     continue
-                limits = self.edge.limits
-                pool = Pool(
-                    line.host,
-                    line.port,
-                    most=limits.runner_connections,
-                    connect=ns(limits.connect_ms),
-                    limits=http.Limits(limits.head_bytes, limits.body_bytes),
-                )
                 if box is None:
-                    box = self.boxes[line.id] = Box(line, pool)
+                    box = self.boxes[line.id] = Box(line, self.link.way(line))
                 else:
-                    box.pool, box.host = pool, f"{line.host}:{line.port}".encode()
+                    self.link.leave(box.way)
+                    box.way = self.link.way(line)
                     box.line = msgspec.structs.replace(line, start=box.line.start)
             if not box.runner or line.start != box.line.start:
                 age = line.age_ms
-                box.since = 0 if age is None else max(1, now - ns(age))
-            if line.state != "gone":
+                box.since = 0 if age is None else max(1, now - round(age * 1e6))
+            if line.state == "gone":
+                gone.append(box)
+            else:
                 box.line = line
             state = STATES[line.state]
             if state is State.UP and box.drains and box.drains == line.start:
@@ -335,11 +393,21 @@
                 self.by_runner[box.runner] = box
             news.append((box.runner, facts))
             self.log.info("roster", runner=line.id, state=state.value, version=self.list.version)
-        self.border.roster(news, whole)
-        self._rearm()
+        self._decide(self.border.roster, news, whole)
+        for box in gone:
+            self.link.leave(box.way)
+            box.gone = True
+            self._sweep(box)
         if whole:
             self.listed.set()
 
+    def _sweep(self, box: Box) -> None:
+        """A runner that is gone is forgotten once the last of what was sent there has ended."""
+        if box.gone and not box.out:
+            self.by_runner.pop(box.runner, None)
+            if self.boxes.get(box.line.id) is box:
+                del self.boxes[box.line.id]
+
     def drains(self, box: Box) -> None:
         """A runner's own word that it drains counts as word, ahead of the roster."""
         if box.drains == box.line.start and box.drains:
@@ -347,7 +415,7 @@
         box.drains = box.line.start
         facts = box.facts(State.DRAINING, box.since, box.line.weight or box.line.memory_mb or 1.0)
         if box.line.id in self.list.lines:
-            self.border.roster([(box.runner, facts)], False)
+            self._decide(self.border.roster, [(box.runner, facts)], False)
             self.log.info("drains by its own word", runner=box.line.id)
 
     # -- tasks
@@ -356,54 +424,67 @@
         self,
         wanted: Wanted,
         arrived: int,
-        headers: http.Headers,
-        body: bytes,
+        content: Any = None,
+        size: int = 0,
         again: bool | None = None,
+        done: Callable[[Held], None] | None = None,
     ) -> Held:
-        """Makes a task known to the module. The door has checked the names and the limits; `headers` and
-        `body` are the event in binary mode, as runners get it. `again` goes before what the event says."""
-        held = Held(wanted, arrived, headers, body)
+        """Makes a task known to the module. The door has checked the names and the limits, and calls `over`
+        once the final answer, which `done` is told of, is on its way. `again` goes before what `wanted`
+        says."""
+        held = Held(wanted, arrived, content, size, done)
         known = self.known(wanted.model, wanted.lanes, wanted.memory_mb)
         limit = self.hard[wanted.offering]
         left = limit if wanted.left is None else min(wanted.left, limit)
         left -= self.margin
-        self.bytes += len(held.body)
 
         def note(task: Task) -> None:
             held.task = task
             self.held[task] = held
+            self.bytes += size
+            known.open += 1
 
         customer = self.customers.get(wanted.customer or "")
-        offering, name = self.offerings[wanted.offering], " ".join(wanted.event.mark)
-        give_up = arrived + left
-        try:
-            again = wanted.again if again is None else again
-            self.border.take(known.model, offering, customer, give_up, again, wanted.cost, note, name)
-        except Exception as error:
-            self._fault(error)
-            if held.task is None or not held.task.hand_offs:  # nothing was sent: no need to wait for `_guard`
-                held.why = "a fault of the dispatcher"
-                held.end(Final.TURNED_BACK)
-        held.opening = False
-        self._rearm()
+        offering, faults = self.offerings[wanted.offering], self.faults
+        again = wanted.again if again is None else again
+        self._decide(
+            self.border.take,
+            known.model,
+            offering,
+            customer,
+            arrived + left,
+            again,
+            wanted.cost,
+            note,
+            wanted.mark,
+        )
+        if self.faults > faults and (held.task is None or not held.task.hand_offs):
+            held.why = "a fault of the dispatcher"  # nothing was sent: no need to wait for `_guard`
+            held.end(Final.TURNED_BACK)
         return held
 
     def known(self, name: str, lanes: int, memory_mb: float) -> Known:
-        known = self.models.get(name)
+        """The model of that name. A new one takes the place of the one that was longest without a task."""
+        known = self.models.pop(name, None)
         if known is None:
             mark = int.from_bytes(name.encode()[:64], "big")
             model = self.border.model(ModelFacts(mark, lanes, memory_mb), name)
-            known = self.models[name] = Known(name, model, lanes, memory_mb)
+            known = Known(name, model, lanes, memory_mb)
             self.by_model[model] = known
+            if len(self.models) >= self.about.models:
+                old = next((k for k in self.models.values() if not k.open), None)
+                if old is not None:
+                    del self.models[old.name], self.by_model[old.model]
+        self.models[name] = known
         return known
 
     async def settle(self, held: Held) -> None:
-        """Waits for the final answer. The first hand-off runs here, in the task of the door: one task less
-        for most that come. Cancelled, the client has left."""
+        """Waits for the final answer. Cancelled, the client has left."""
         try:
-            if held.first is not None:
-                await self._carry(held, *held.first)
-            await held.ended()
+            if held.final is None:
+                event = anyio.Event()
+                held.done = lambda _: event.set()
+                await event.wait()
         finally:
             held.end(Final.LEFT)
             self.over(held)
@@ -417,35 +498,29 @@
                 held.end(Final.TURNED_BACK if back else Final.SCRAPPED)
 
     def over(self, held: Held) -> None:
-        """The final answer is on its way, or nobody waits for it: what is still out is called off.
-
-        Not from within `_outlet`: the module's generator is running there.
-        """
+        """The final answer is on its way, or nobody waits for it: what is still out is called off."""
         task = held.task
         if task is None or self.held.pop(task, None) is None:
             return
-        self.bytes -= len(held.body)
+        self.bytes -= held.size
+        known = self.by_model.get(task.model)
+        if known is not None:
+            known.open -= 1
         if held.final is not None:
             self.counts["final", held.final.value] += 1
             if held.final is not Final.LEFT:
                 left = task.give_up - self.clock()
                 self.closest = left if self.closest is None else min(self.closest, left)
-        try:
-            self.border.closed(task, held.final.value if held.final else "")
-        except Exception as error:
-            self._fault(error)
+        self._decide(self.border.closed, task, held.final.value if held.final else "")
 
     def _outlet(self, action: Action) -> None:
         """Carries out one decision. Nothing here calls the module back: it is in the middle of deciding."""
         match action:
             case HandOff(task=task, runner=runner):
-                held, box, scope = self.held[task], self.by_runner[runner], anyio.CancelScope()
-                self._scopes[action] = scope
-                if held.opening and self.calls_off:
-                    held.first = action, box, scope
-                    held.opening = False
-                else:
-                    self._soon(self._carry, held, action, box, scope)
+                box = self.by_runner[runner]
+                out = self._out[action] = Out(action, self.held[task], box, len(task.hand_offs) - 1)
+                box.out += 1
+                self.link.hand_off(out)
             case TurnBack(task=task, wait=wait):
                 held = self.held[task]
                 held.wait = wait
@@ -453,79 +528,43 @@
             case Scrap(task=task):
                 self.held[task].end(Final.SCRAPPED)
             case CallOff(hand_off=hand_off):
-                found = self._scopes.get(hand_off)
+                found = self._out.get(hand_off)
                 if found is not None:
-                    self._called_off.add(hand_off)
-                    found.cancel()
+                    self.link.call_off(found)
             case Order():
-                self._soon(self._order, action)
+                self._order(action)
             case AskRoster() | Wait():
                 pass  # the roster is pushed; the engine keeps the waits
-        if self.edge.log.decisions:
+        if self.about.decisions:
             self._tell(action)
 
-    def _soon(self, work: Callable[..., Any], *args: Any) -> None:
-        assert self.group is not None
-        self.group.start_soon(work, *args)
-
     def _tell(self, action: Action) -> None:
         about: dict[str, Any] = {"what": type(action).__name__}
         runner = getattr(action, "runner", None)
-        if runner is not None:
+        if runner in self.by_runner:
             about["runner"] = self.by_runner[runner].line.id
         hand_off = getattr(action, "hand_off", None)
         task = getattr(action, "task", None) or (hand_off.task if hand_off else None)
         if task in self.held:
-            about["task"] = self.held[task].wanted.event.text("id")
-        if isinstance(action, Order):
+            about["task"] = self.held[task].wanted.id
+        if isinstance(action, Order) and action.model in self.by_model:
             about |= {"model": self.by_model[action.model].name, "copies": action.copies}
         self.log.info("decides", **about)
 
-    # -- hand-offs, orders, probes
-
-    async def _carry(self, held: Held, hand_off: HandOff, box: Box, scope: anyio.CancelScope) -> None:
-        """One hand-off from its decision to its `Answer`. Whatever happens on the socket, there is exactly
-        one."""
-        number = hand_off.task.hand_offs.index(hand_off)
-        sending = Sending()
-        exchange: Exchange | None = None
-        left = hand_off.sent + hand_off.patience - self.clock()
-        if left <= 0:
-            told = outcomes.Heard(Result.NOT_SENT, why="the time was over before it was sent")
-        else:
-            scope.deadline = anyio.current_time() + left / 1e9
-            try:
-                with scope:
-                    exchange = await box.pool.exchange(
-                        self._request(held, hand_off, number, box, left), sending
-                    )
-            except anyio.get_cancelled_exc_class():
-                held.end(Final.LEFT)  # the door's own task: before the module could think of going on
-                raise
-            except Exception as error:  # `_told` follows all the same, with what may have run
-                self._fault(error)
-            finally:  # the module is owed one answer all the same
-                if exchange is not None:
-                    told = outcomes.heard(exchange)
-                else:
-                    off = hand_off in self._called_off or self.clock() < hand_off.sent + hand_off.patience
-                    told = outcomes.without_answer(called_off=off, wrote=sending.wrote)
-                self._told(held, hand_off, box, told, exchange)
-            return
-        self._told(held, hand_off, box, told, None)
+    # -- ends of hand-offs and orders
 
-    def _told(
-        self, held: Held, hand_off: HandOff, box: Box, told: outcomes.Heard, exchange: Exchange | None
-    ) -> None:
-        """The end of a hand-off, to the module and, if it satisfied the task, to the door."""
-        self._scopes.pop(hand_off, None)
-        self._called_off.discard(hand_off)
-        if held.first is not None and held.first[0] is hand_off:
-            held.first = None  # over: nothing is left there to be ended
+    def ended(self, out: Out, told: Heard) -> None:
+        """From the link: the one end of a hand-off."""
+        self.later(self._ended, out, told, self.clock())
+
+    def _ended(self, out: Out, told: Heard, now: int) -> None:
+        hand_off, held, box = out.hand_off, out.held, out.box
+        if self._out.pop(hand_off, None) is None:
+            return
+        box.out -= 1
         if told.drains:
             self.drains(box)
-        if exchange and exchange.message:
-            box.reported.update(orders.report(exchange.message.header(outcomes.REPORT)))
+        box.reported.update(told.report)
         self.counts["hand-off", told.result.value] += 1
         if told.failure:
             self.counts["load failed", told.failure] += 1
@@ -534,55 +573,43 @@
         first = told.result is Result.SATISFIED and held.final is None
         final = first or held.final is not None
         if first:
-            held.answer = told.message
+            held.answer = told.content
             held.end(Final.SATISFIED)
-        lag = max(0, self.clock() - hand_off.sent)
-        try:
-            self.border.answered(Answer(hand_off, told.result, final, told.warmth, lag))
-        except Exception as error:
-            self._fault(error)
-        self._rearm()
-        if self.edge.log.decisions:
+        lag = max(0, now - hand_off.sent)
+        self._decide(self.border.answered, Answer(hand_off, told.result, final, told.warmth, lag))
+        self._sweep(box)
+        if self.about.decisions:
             self.log.info(
-                "hears",
-                task=held.wanted.event.text("id"),
-                runner=box.line.id,
-                result=told.result.value,
-                why=told.why,
+                "hears", task=held.wanted.id, runner=box.line.id, result=told.result.value, why=told.why
             )
 
-    def _request(self, held: Held, hand_off: HandOff, number: int, box: Box, left: int) -> bytes:
-        if held.lines is None:
-            held.lines = b"".join(b"%b: %b\r\n" % p for p in held.headers if p[0] not in RELAYED_ANEW)
-        return (
-            b"POST / HTTP/1.1\r\nhost: %b\r\nuser-agent: %b\r\n%bce-timeleftms: %d\r\nce-handoff: %d\r\n"
-            b"content-length: %d\r\n\r\n%b"
-            % (box.host, self.agent, held.lines, left // 1_000_000, number, len(held.body), held.body)
-        )
+    def _order(self, order: Order) -> None:
+        box, known = self.by_runner.get(order.runner), self.by_model.get(order.model)
+        if box is None or known is None:  # of a model or a runner that was forgotten since
+            self.later(self._decide, self.border.ordered, order, Result.NOT_SENT, 0)
+            return
+        box.out += 1
 
-    async def _order(self, order: Order) -> None:
-        box, known = self.by_runner[order.runner], self.by_model[order.model]
-        data = orders.load(box.host, self.agent, known.name, order.copies, known.memory_mb, known.lanes)
-        result, copies, why = Result.SILENT, 0, "no answer"
-        try:
-            with anyio.move_on_after(self.edge.models.order_limit_ms / 1000):
-                exchange = await box.pool.exchange(data)
-                result, why = outcomes.ordered(exchange)
-                if exchange.message and (failure := outcomes.failed(exchange.message)):
-                    self.counts["load failed", failure] += 1
-                copies = orders.standing(exchange)
-                if exchange.message and exchange.message.header(outcomes.STATE) == b"draining":
-                    self.drains(box)
-        except Exception as error:
-            self._fault(error)
-        self.counts["order", result.value] += 1
-        try:
-            self.border.ordered(order, result, copies)
-        except Exception as error:
-            self._fault(error)
-        self._rearm()
-        if self.edge.log.decisions:
-            self.log.info("order ends", runner=box.line.id, model=known.name, result=result.value, why=why)
+        def told(heard: Heard) -> None:
+            self.later(self._ordered, order, box, heard)
+
+        self.link.order(box, known, order.copies, told)
+
+    def _ordered(self, order: Order, box: Box, heard: Heard) -> None:
+        box.out -= 1
+        if heard.drains:
+            self.drains(box)
+        if heard.failure:
+            self.counts["load failed", heard.failure] += 1
+        self.counts["order", heard.result.value] += 1
+        self._decide(self.border.ordered, order, heard.result, heard.copies)
+        self._sweep(box)
+        if self.about.decisions:
+            known = self.by_model.get(order.model)
+            name = known.name if known is not None else ""
+            self.log.info(
+                "order ends", runner=box.line.id, model=name, result=heard.result.value, why=heard.why
+            )
 
     # -- what a planner decided
 
@@ -601,7 +628,7 @@
                 else:
                     given += 1
         except Exception as error:
-            self._fault(error)
+            self.fault(error)
         self._rearm()
         return given, refused
 
@@ -611,45 +638,26 @@
         for name, model, lanes, memory_mb, age_ms in copies:
             box = self.boxes.get(name)
             if box is not None and box.line.id in self.list.lines and box.line.state == "up":
-                if len(self.models) >= self.edge.limits.known_models:
+                if len(self.models) >= self.about.models:
                     return
-                self._soon(self._ask, box, self.known(model, lanes, memory_mb), self.clock() - ns(age_ms))
-
-    async def _ask(self, box: Box, known: Known, touched: int) -> None:
-        data = orders.load(box.host, self.agent, known.name, 0, known.memory_mb, known.lanes)
-        result, copies = Result.SILENT, 0
-        with anyio.move_on_after(self.edge.models.order_limit_ms / 1000):
-            exchange = await box.pool.exchange(data)
-            result, _ = outcomes.ordered(exchange)
-            copies = orders.standing(exchange)
-        self.counts["ask", result.value] += 1
-        try:
-            self.border.recalled(box.runner, known.model, result, copies, touched)
-        except Exception as error:
-            self._fault(error)
-        self._rearm()
+                self._ask(box, self.known(model, lanes, memory_mb), self.clock() - round(age_ms * 1e6))
 
-    async def _probe_all(self, every: int) -> None:
-        while True:
-            for box in list(self.boxes.values()):
-                if box.line.id in self.list.lines and box.line.state == "up":
-                    self._soon(self._probe, box, every)
-            await anyio.sleep(every / 1e9)
+    def _ask(self, box: Box, known: Known, touched: int) -> None:
+        def answered(heard: Heard) -> None:
+            box.out -= 1
+            self.counts["ask", heard.result.value] += 1
+            self._decide(self.border.recalled, box.runner, known.model, heard.result, heard.copies, touched)
+            self._sweep(box)
 
-    async def _probe(self, box: Box, within: int) -> None:
-        with anyio.move_on_after(within / 1e9):
-            exchange = await box.pool.exchange(orders.probe(box.host, self.agent))
-            if exchange.message:
-                box.reported.update(orders.report(exchange.message.header(outcomes.REPORT)))
-                if exchange.message.header(outcomes.STATE) == b"draining":
-                    self.drains(box)
+        box.out += 1
+        self.link.order(box, known, 0, lambda heard: self.later(answered, heard))
 
     # -- what operators see
 
     def state(self) -> dict[str, Any]:
         now = self.clock()
         return {
-            "edge": self.edge.name,
+            "edge": self.about.name,
             "roster": {"version": self.list.version, "runners": len(self.list.lines)},
             "planner": self.about_planner() if self.about_planner else None,
             "door": self.about_door() if self.about_door else None,
@@ -665,8 +673,8 @@
                     "id": box.line.id,
                     "state": box.runner.facts.state.value,
                     "age_ms": (now - box.since) / 1e6 if box.since else None,
-                    "connections": box.pool.open,
-                    "opened": box.pool.opened,
+                    "connections": box.way.open,
+                    "opened": box.way.opened,
                     "report": box.reported,
                 }
                 for box in self.boxes.values()
--- a/martenlead/edge/door.py
+++ b/martenlead/edge/door.py
@@ -14,10 +14,11 @@
 from martenlead.admission import gate, token
 from martenlead.admission.gate import End, Gate, State, Ticket
 from martenlead.config.edge import Edge, ns
-from martenlead.edge.dispatcher import Dispatcher, Final, Held
-from martenlead.edge.protocol import Wanted, wanted
+from martenlead.edge.dispatcher import Dispatcher, Final, Held, Wanted
+from martenlead.edge.httplink import Content
+from martenlead.edge.protocol import wanted
 from martenlead.events import cloudevent
-from martenlead.events.cloudevent import BadEvent
+from martenlead.events.cloudevent import BadEvent, Event
 from martenlead.events.http import Headers, Limits, Message
 from martenlead.events.problem import problem
 from martenlead.events.server import Reply, Server, ServerLimits
@@ -90,12 +91,12 @@
             headers = [p for p in message.headers if p[0][:3] == b"ce-" or p[0] == b"content-type"]
             body = message.body
         if self.gate is None:
-            held = dispatcher.take(asked, now, headers, body)
+            held = dispatcher.take(asked, now, Content(headers, body), len(body))
             await dispatcher.settle(held)
             return self.answer(held)
-        return await self._through(self.gate, asked, now, headers, body)
+        return await self._through(self.gate, asked, event, now, Content(headers, body))
 
-    async def _through(self, gate: Gate, asked: Wanted, now: int, headers: Headers, body: bytes) -> Reply:
+    async def _through(self, gate: Gate, asked: Wanted, event: Event, now: int, content: Content) -> Reply:
         """A task by the gate: at once, after a wait, or not at all."""
         dispatcher = self.dispatcher
         limit = dispatcher.hard[asked.offering]
@@ -103,21 +104,21 @@
             asked.model,
             asked.offering,
             asked.customer or "",
-            asked.event.mark[0],
-            hash(asked.event.mark),
+            event.mark[0],
+            hash(event.mark),
             asked.cost,
-            len(body),
+            len(content.body),
             now + dispatcher.offerings[asked.offering].soft_limit,
             now + (limit if asked.left is None else min(asked.left, limit)) - dispatcher.margin,
             asked.again,
             (asked.lanes, asked.memory_mb),
-            self._brought(asked),
+            self._brought(event),
         )
         if ticket.state is State.WAITS:
-            event = self._changed[ticket] = anyio.Event()
+            changed = self._changed[ticket] = anyio.Event()
             try:
                 with anyio.move_on_after(max(0, ticket.until - dispatcher.clock()) / 1e9):
-                    await event.wait()
+                    await changed.wait()
                 gate.expire(ticket)
             except anyio.get_cancelled_exc_class():
                 # its client left: as it waited, or just as it was let in, and then the next is due
@@ -127,10 +128,10 @@
                 del self._changed[ticket]
         if ticket.state is State.BACK:
             dispatcher.counts["final", Final.TURNED_BACK.value] += 1
-            return self._appoint(at_the_door(ticket.why, ticket.wait), asked, ticket)
+            return self._appoint(at_the_door(ticket.why, ticket.wait), event, ticket)
         end = End.OTHER
         try:
-            held = dispatcher.take(asked, now, headers, body, ticket.repeats)
+            held = dispatcher.take(asked, now, content, len(content.body), ticket.repeats)
             self._wake(gate.begun(ticket))
             await dispatcher.settle(held)
             end = end_of(held.final.value if held.final else "", held.task, held.why)
@@ -138,27 +139,27 @@
             self._wake(gate.ended(ticket, end))
         if end is End.NO_ROOM:
             held.wait = max(held.wait, ticket.wait)
-            return self._appoint(self.answer(held), asked, ticket)
+            return self._appoint(self.answer(held), event, ticket)
         return self.answer(held)
 
-    def _brought(self, asked: Wanted) -> tuple[int, int] | None:
+    def _brought(self, event: Event) -> tuple[int, int] | None:
         """The appointment that a task brings from another door, by this door's clock."""
-        text = asked.event.text("appointment") if self.secret is not None else None
+        text = event.text("appointment") if self.secret is not None else None
         if text is None or self.secret is None:
             return None
         wall = self._wall()
-        told = token.take(self.secret, asked.event.mark, text, wall // 1_000_000)
+        told = token.take(self.secret, event.mark, text, wall // 1_000_000)
         if told is None:
             self.dispatcher.counts["appointment", "not ours"] += 1
             return None
         ahead = self.dispatcher.clock() - wall
         return told[0] * 1_000_000 + ahead, told[1] * 1_000_000 + ahead
 
-    def _appoint(self, reply: Reply, asked: Wanted, ticket: Ticket) -> Reply:
+    def _appoint(self, reply: Reply, event: Event, ticket: Ticket) -> Reply:
         if self.secret is not None and ticket.appointment is not None:
             behind = self._wall() - self.dispatcher.clock()
             since, until = ((t + behind) // 1_000_000 for t in ticket.appointment)
-            text = token.give(self.secret, asked.event.mark, since, until)
+            text = token.give(self.secret, event.mark, since, until)
             reply.headers.append((b"martenlead-appointment", text.encode()))
         return reply
 
--- a/martenlead/edge/keeper.py
+++ b/martenlead/edge/keeper.py
@@ -109,7 +109,7 @@
             return
         known, age = self.found
         runners = self._runners(dispatcher)
-        most = dispatcher.edge.limits.known_models
+        most = dispatcher.about.models
         models = {
             m.name: dispatcher.known(m.name, m.lanes, m.memory_mb).model
             for m in known.models[: max(0, most - len(dispatcher.models))]
--- a/martenlead/edge/protocol.py
+++ b/martenlead/edge/protocol.py
@@ -3,29 +3,13 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass
 
+from martenlead.edge.dispatcher import Wanted
 from martenlead.events.cloudevent import BadEvent, Event, parse_time
 
 INTEGER_MOST = 2**31 - 1
 
 
-@dataclass(slots=True)
-class Wanted:
-    """A task as its event names it; times are ns, `cost` is seconds, `left` is from when the request was
-    read."""
-
-    event: Event
-    offering: str
-    model: str
-    customer: str | None
-    lanes: int
-    memory_mb: float
-    cost: float
-    left: int | None
-    again: bool
-
-
 def wanted(event: Event) -> Wanted:
     """Raises `BadEvent`, which names the attribute."""
     model = event.text("model")
@@ -42,7 +26,6 @@
     if again not in (None, "true", "false"):
         raise BadEvent("again", "true or false was expected")
     return Wanted(
-        event=event,
         offering=str(event.attributes["type"]),
         model=model,
         customer=event.text("customer"),
@@ -51,6 +34,8 @@
         cost=(_number(event, "costms") or 0.0) / 1000,
         left=None if left is None else round(left * 1e6),
         again=again == "true",
+        id=event.text("id") or "",
+        mark=" ".join(event.mark),
     )
 
 
--- a/martenlead/edge/serve.py
+++ b/martenlead/edge/serve.py
@@ -12,6 +12,7 @@
 import structlog
 
 from martenlead.config.edge import Edge
+from martenlead.edge import httplink
 from martenlead.edge.border import Tape
 from martenlead.edge.dispatcher import Dispatcher
 from martenlead.edge.door import Admin, Door
@@ -33,7 +34,7 @@
     every held task gets its answer now.
     """
     log = structlog.get_logger().bind(edge=edge.name)
-    dispatcher = Dispatcher(edge, tape=tape)
+    dispatcher = httplink.dispatcher(edge, tape=tape)
     door = Door(dispatcher, edge)
     listener, port = await listen(edge.listen.host, edge.listen.port)
     async with anyio.create_task_group() as group:
--- a/martenlead/emulator/edge.py
+++ b/martenlead/emulator/edge.py
@@ -512,7 +512,7 @@
         self.border.answered(Answer(hand_off, told.result, final, told.warmth, lag))
         self._rearm()
 
-    def _fault(self, error: Exception) -> None:
+    def fault(self, error: Exception) -> None:
         raise error
 
     def decided(self, orders: Any, held: Any) -> tuple[int, int]:
--- /dev/null
+++ b/martenlead/node/__main__.py
@@ -0,0 +1,5 @@
+import sys
+
+from martenlead.node.serve import main
+
+sys.exit(main())
--- /dev/null
+++ b/martenlead/node/config.py
@@ -0,0 +1,97 @@
+"""What the platform tells a dispatcher at its start and at each SIGHUP."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from martenlead.benchlink.settings import Profile, ns
+from martenlead.edge.dispatcher import About
+from martenlead.node.journal import Known, Places
+
+MODELS_PER_MB = 20  # models known at once: some KB each, with their copies
+
+
+class BadConfig(Exception):
+    """Nothing can be served with it."""
+
+
+class Limits(msgspec.Struct):
+    cores: float = 1.0
+    memory_mb: float = 192.0
+    sockets: int = 1024
+
+
+class File(msgspec.Struct):
+    name: str
+    listen: str
+    journal: str
+    seed: str = "0"
+    limits: Limits = msgspec.field(default_factory=Limits)
+    known: Known = msgspec.field(default_factory=Known)
+    settings: dict[str, Any] = {}
+
+
+def address(text: str) -> tuple[str, int]:
+    """Raises BadConfig."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise BadConfig(f"{text[:80]!r} is no address")
+    return host, int(port)
+
+
+@dataclass(slots=True)
+class Conn:
+    """What the settings say of connections to runners. Times are ns."""
+
+    streams: int
+    connect: int
+    idle: int
+    order: int
+
+
+@dataclass(slots=True)
+class Config:
+    listen: tuple[str, int]
+    journal: tuple[str, int]
+    limits: Limits
+    known: Known
+    about: About
+    places: Places
+    conn: Conn
+
+
+def read(path: Path) -> Config:
+    """Raises BadConfig."""
+    try:
+        file = msgspec.json.decode(path.read_bytes(), type=File)
+        told = file.settings
+        profile = Profile(told)
+        allowed, family = told["allowed"], told.get("family-info", {})
+        places = Places(
+            list(told.get("azs", [])), list(told.get("skus", [])), profile.memory, profile.silent_weights
+        )
+        about = About(
+            name=file.name,
+            seed=int(file.seed, 16),
+            settings=profile.settings,
+            offerings=profile.offerings,
+            customers=profile.customers,
+            hard={c["name"]: ns(c["give-up"]) for c in told["classes"]},
+            margin=0,
+            models=max(100, int(file.limits.memory_mb * MODELS_PER_MB)),
+        )
+        conn = Conn(
+            max(1, int(allowed.get("streams-per-conn") or 1)),
+            ns(allowed.get("connect-timeout") or 0.25),
+            ns(allowed.get("conn-idle") or 30.0),
+            ns(family.get("order-limit") or 10.0),
+        )
+        return Config(
+            address(file.listen), address(file.journal), file.limits, file.known, about, places, conn
+        )
+    except (OSError, msgspec.DecodeError, ValueError, KeyError, TypeError, AttributeError) as error:
+        raise BadConfig(f"{type(error).__name__}: {error}"[:300]) from None
--- /dev/null
+++ b/martenlead/node/door.py
@@ -0,0 +1,227 @@
+"""The door for JSON-RPC clients: a message in, one final answer out. No decisions.
+
+What a client gets that keeps no form is an error, or the end of its connection; it costs the others nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import anyio
+
+from martenlead.edge.dispatcher import Dispatcher, Final, Held, Wanted
+from martenlead.node import rpc
+from martenlead.node.rpc import BadCall, Call
+
+OPEN = 32  # tasks of one connection, by the protocol
+ERRORS = 16  # of one connection, then it ends
+UNREAD = 262_144  # bytes that wait for a client; beyond, nothing more is read from it
+MS = 1_000_000
+FIRST = 2_000 * MS  # for the first whole message, and for the rest of one that has begun
+IDLE = 5_000 * MS  # clients close after 4 s themselves
+SLOW = 2_500 * MS  # a client that reads nothing for so long has left
+SWEEP = 250 * MS
+
+
+class Client(asyncio.Protocol):
+    """One connection."""
+
+    def __init__(self, door: Door) -> None:
+        self.door = door
+        self.transport: Any = None
+        self.frames = rpc.Frames()
+        self.open: dict[int, Held] = {}
+        self.last = 0  # number
+        self.errors = 0
+        self.spoke = False  # a message that was taken
+        self.read = self.begun = self.stuck = 0  # when: last message, the partial one, reading stopped
+        self.over = False
+
+    # -- the event loop's side
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        transport.set_write_buffer_limits(UNREAD)
+        self.read = self.door.dispatcher.clock()
+        self.door.joined(self)
+
+    def data_received(self, data: bytes) -> None:
+        now = self.door.dispatcher.clock()
+        bad: rpc.BadFrame | None = None
+        try:
+            messages = self.frames.feed(data)
+        except rpc.BadFrame as error:
+            messages, bad = error.done, error
+        for message in messages:
+            if self.over:
+                return
+            self.door.heard(self, message, now)
+        if messages:
+            self.read = now
+        if not self.frames.partial:
+            self.begun = 0
+        elif messages or not self.begun:
+            self.begun = now
+        if bad is not None and not self.over:
+            self.write(rpc.error(None, rpc.INVALID, bad.detail))
+            self.close()
+
+    def eof_received(self) -> None:
+        return None  # whoever closes has left
+
+    def connection_lost(self, _error: Exception | None) -> None:
+        self.over = True
+        self.door.left(self)
+        self.door.closing.pop(self, None)
+
+    def pause_writing(self) -> None:
+        self.stuck = self.door.dispatcher.clock()
+        self.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        self.stuck = 0
+        if not self.over:
+            self.transport.resume_reading()
+
+    # -- ours
+
+    def write(self, data: bytes) -> None:
+        if not self.over:
+            self.transport.write(data)
+
+    def close(self) -> None:
+        """What was written leaves; what is open has no client any more."""
+        if not self.over:
+            self.over = True
+            self.door.closing[self] = self.door.dispatcher.clock()
+            self.transport.close()
+            self.door.left(self)
+
+    def idle(self, now: int) -> bool:
+        if self.stuck:
+            return now - self.stuck > SLOW
+        if self.open:
+            return False
+        if self.begun:
+            return now - self.begun > FIRST
+        return now - self.read > (IDLE if self.spoke else FIRST)
+
+
+class Door:
+    def __init__(self, dispatcher: Dispatcher, connections: int, tasks: int, held_bytes: int) -> None:
+        """At most so many connections, tasks held and bytes of their bodies."""
+        self.dispatcher = dispatcher
+        self.connections, self.tasks, self.held_bytes = connections, tasks, held_bytes
+        self.wait = dispatcher.about.settings.turn_back_wait // MS
+        self.clients: dict[Client, None] = {}  # the oldest first
+        self.ids: dict[str, Held] = {}  # of the tasks open here
+        self.closing: dict[Client, int] = {}  # what was written to them has yet to leave; since when
+
+    async def run(self) -> None:
+        """Until cancelled: ends what stands too long."""
+        while True:
+            await anyio.sleep(SWEEP / 1e9)
+            self.sweep()
+
+    def sweep(self) -> None:
+        now = self.dispatcher.clock()
+        for client in [c for c in self.clients if c.idle(now)]:
+            client.close()
+        for client in [c for c, since in self.closing.items() if now - since > SLOW]:
+            client.transport.abort()
+
+    def joined(self, client: Client) -> None:
+        """A place for everyone who speaks: the oldest that never did gives way, else the longest idle, else
+        the new one."""
+        self.clients[client] = None
+        if len(self.clients) <= self.connections:
+            return
+        others = [c for c in self.clients if c is not client and not c.open]
+        silent = next((c for c in others if not c.spoke), None)
+        (silent or min(others, key=lambda c: c.read, default=client)).close()
+        self.dispatcher.counts["client", "no place"] += 1
+
+    def left(self, client: Client) -> None:
+        self.clients.pop(client, None)
+        for held in list(client.open.values()):
+            self._leave(held)
+        client.open.clear()
+
+    def _leave(self, held: Held) -> None:
+        held.done = None
+        self.ids.pop(held.wanted.id, None)
+        held.end(Final.LEFT)
+        self.dispatcher.later(self.dispatcher.over, held)
+
+    def heard(self, client: Client, message: bytes, now: int) -> None:
+        try:
+            call = rpc.read(message)
+            if call.method == "ping":
+                client.write(rpc.up(call.number, self.dispatcher.listed.is_set()))
+            elif call.method == "abort":
+                self._abort(client, call)
+            else:
+                self._take(client, call, now)
+            client.spoke = True
+        except BadCall as error:
+            self.dispatcher.counts["refused", str(error.code)] += 1
+            client.errors += 1
+            number = error.number
+            if number is not None and number in client.open:
+                number = None  # its one answer is still to come
+            client.write(rpc.error(number, error.code, error.detail))
+            if number is None or client.errors > ERRORS:
+                client.close()
+
+    def _abort(self, client: Client, call: Call) -> None:
+        """No answer is owed for it, nor for the task."""
+        for number, held in client.open.items():
+            if held.wanted.id == call.id or number == call.number:
+                del client.open[number]
+                self._leave(held)
+                return
+
+    def _take(self, client: Client, call: Call, now: int) -> None:
+        dispatcher, number = self.dispatcher, call.number
+        assert number is not None
+        if number <= client.last:
+            raise BadCall(rpc.INVALID, "a number that was used before")
+        client.last = number
+        if call.method not in dispatcher.offerings:
+            raise BadCall(rpc.NO_METHOD, "no such method", number)
+        if dispatcher.customers and call.tenant not in dispatcher.customers:
+            raise BadCall(rpc.PARAMS, "tenant: no such tenant", number)
+        if call.id in self.ids:
+            raise BadCall(rpc.PARAMS, "id: of a request that is open", number)
+        size = len(call.blob)
+        if (
+            len(client.open) >= OPEN
+            or len(dispatcher.held) >= self.tasks
+            or dispatcher.bytes + size > self.held_bytes
+        ):
+            dispatcher.counts["final", Final.TURNED_BACK.value] += 1
+            client.write(rpc.error(number, rpc.TURNED_BACK, "too much is open", self.wait))
+            return
+        about = call.lanes, call.memory_mb, call.cost, call.wait, call.again, call.id
+        wanted = Wanted(call.method, call.key, call.tenant, *about)
+
+        def done(held: Held) -> None:
+            client.open.pop(number, None)
+            self.ids.pop(call.id, None)
+            client.write(answer(number, held))
+            dispatcher.later(dispatcher.over, held)
+
+        # an answer may come before `take` has returned
+        held = dispatcher.take(wanted, now, call, size, done=done)
+        if held.final is None:
+            client.open[number] = held
+            self.ids[call.id] = held
+
+
+def answer(number: int, held: Held) -> bytes:
+    if held.final is Final.SATISFIED:
+        return rpc.result(number, held.answer)
+    if held.final is Final.TURNED_BACK:
+        return rpc.error(number, rpc.TURNED_BACK, held.why or "no runner may take it now", held.wait // MS)
+    return rpc.error(number, rpc.FAILED, held.why or "no runner had an answer")
--- /dev/null
+++ b/martenlead/node/journal.py
@@ -0,0 +1,161 @@
+"""The journal service's events: frames of binary records, and the same events as JSON. No I/O."""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass
+from ipaddress import IPv4Address
+from typing import Any
+
+import msgspec
+
+from martenlead.runnerlink.roster import Line, News
+
+_HEAD = struct.Struct(">IQB")
+_RECORD = struct.Struct(">IIHBBBHIQ")
+NUMBER = struct.Struct(">Q")
+NOTHING, WHOLE, CHANGES = 0, 1, 2
+STATES = ("up", "draining", "gone")
+NAMED = {"in_service": "up", "terminating": "draining", "terminated": "gone"}
+LONGEST = 9 + 27 * 20_000
+
+
+class BadFrame(Exception):
+    """The stream cannot be read on from here."""
+
+
+@dataclass(slots=True)
+class Places:
+    """The settings' lists that records point into, and MB by kind. `silent`: weights are not told."""
+
+    zones: list[str]
+    kinds: list[str]
+    memory_mb: dict[str, float]
+    silent: bool
+
+    def line(
+        self,
+        id: str,
+        host: str,
+        port: int,
+        zone: str,
+        kind: str,
+        cell: int,
+        weight: float,
+        state: Any,
+        started: int,
+    ) -> Line:
+        """`started` is a Unix ms, 0 for long past; it stands in `start` and is turned into an age by whoever
+        knows the time."""
+        return Line(
+            id=id,
+            host=host,
+            port=port,
+            zone=zone,
+            cell=cell,
+            kind=kind,
+            memory_mb=self.memory_mb.get(kind, 1.0),
+            weight=0.0 if self.silent else weight,
+            state=state,
+            start=str(started),
+        )
+
+
+def age(news: News, now: int) -> News:
+    """Fills in how old the runners are; `now` is a Unix time, ns."""
+    for line in news.runners or ():
+        line.age_ms = now / 1e6 - int(line.start) if line.start != "0" else None
+    return news
+
+
+class Frames:
+    """Bytes in, news out; the empty frame is news without runners."""
+
+    def __init__(self, places: Places) -> None:
+        self.places = places
+        self._held = b""
+
+    def feed(self, data: bytes) -> list[News]:
+        """Raises BadFrame."""
+        held, at, told = self._held + data, 0, []
+        while len(held) - at >= 4:
+            length = int.from_bytes(held[at : at + 4], "big")
+            if not 9 <= length <= LONGEST:
+                raise BadFrame(f"a frame of {length} bytes")
+            if len(held) - at - 4 < length:
+                break
+            told.append(self._read(held[at : at + 4 + length]))
+            at += 4 + length
+        self._held = held[at:]
+        return told
+
+    def _read(self, frame: bytes) -> News:
+        _, number, kind = _HEAD.unpack_from(frame)
+        if kind == NOTHING:
+            return News(number)
+        if kind not in (WHOLE, CHANGES) or (len(frame) - _HEAD.size) % _RECORD.size:
+            raise BadFrame("an event that is none")
+        lines = []
+        places = self.places
+        for id, address, port, state, zone, kind_, cell, weight, started in _RECORD.iter_unpack(
+            frame[_HEAD.size :]
+        ):
+            if state >= len(STATES) or zone >= len(places.zones) or kind_ >= len(places.kinds):
+                raise BadFrame("a record that is none")
+            lines.append(
+                places.line(
+                    f"s-{id:08x}",
+                    str(IPv4Address(address)),
+                    port,
+                    places.zones[zone],
+                    places.kinds[kind_],
+                    cell,
+                    weight / 1000,
+                    STATES[state],
+                    started,
+                )
+            )
+        return News(number, kind == WHOLE, lines)
+
+
+class _Member(msgspec.Struct):
+    id: str
+    host_port: str
+    locality: str = ""
+    flavor: str = ""
+    cell: int = 0
+    phase: str = "in_service"
+    size: float = 0.0
+    up_since_ms: int = 0
+
+
+class _Hosts(msgspec.Struct):
+    members: list[_Member]
+    complete: bool = False
+
+
+class _Entry(msgspec.Struct):
+    pos: int
+    hosts: _Hosts | None = None
+
+
+class Known(msgspec.Struct):
+    """`known` of the configuration."""
+
+    pos: int = 0
+    entries: list[_Entry] = []
+
+    def news(self, places: Places) -> list[News]:
+        told = []
+        for entry in self.entries:
+            lines = []
+            for m in entry.hosts.members if entry.hosts is not None else ():
+                host, _, port = m.host_port.rpartition(":")
+                state = NAMED.get(m.phase, "up")
+                lines.append(
+                    places.line(
+                        m.id, host, int(port), m.locality, m.flavor, m.cell, m.size, state, m.up_since_ms
+                    )
+                )
+            told.append(News(entry.pos, entry.hosts is not None and entry.hosts.complete, lines))
+        return told
--- /dev/null
+++ b/martenlead/node/lines.py
@@ -0,0 +1,130 @@
+"""What is spoken with runners: one JSON object a line. No I/O; a line's length is bounded."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+
+from martenlead.interface import Result, Warmth
+from martenlead.node.rpc import decoded
+
+LONGEST = 131_072  # bytes of a line
+
+RESULTS = {
+    "DONE": Result.SATISFIED,
+    "LACK": Result.MISSING,
+    "WAIT": Result.FULL,
+    "BROKE": Result.ERROR,
+    # its time was over before it was begun, which proves that it did not run and that the runner is alive
+    "PAST": Result.FULL,
+}
+"""Answer words. Ends without one: a connection that never came up is UNREACHED and a line that was never
+written NOT_SENT, both of which prove that nothing ran; a connection that ended or brought what cannot be read
+is BROKEN, one that stayed silent SILENT, and a hand-off taken back CALLED_OFF: all may have run."""
+
+WARMTH = {
+    "resident": Warmth.WARM,
+    "booted": Warmth.BEGAN,
+    "rode": Warmth.WAITED,
+    "boot_error": Warmth.LOAD_FAILED,
+}
+
+
+class BadLine(Exception):
+    """Nothing on that connection can be trusted any more. `done` came whole before."""
+
+    def __init__(self, detail: str, done: list[bytes]) -> None:
+        super().__init__(detail)
+        self.done = done
+
+
+class Lines:
+    """Bytes in, whole lines out."""
+
+    def __init__(self, longest: int = LONGEST) -> None:
+        self.longest = longest
+        self._held: list[bytes] = []
+        self._size = 0
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Raises BadLine."""
+        *done, rest = data.split(b"\n")
+        if done and self._held:
+            done[0] = b"".join([*self._held, done[0]])
+            self._held, self._size = [], 0
+        for at, line in enumerate(done):
+            if len(line) > self.longest:
+                raise BadLine("a line that is too long", done[:at])
+        if rest:
+            self._held.append(rest)
+            self._size += len(rest)
+            if self._size > self.longest:
+                raise BadLine("a line without an end", done)
+        return done
+
+
+class _Props(msgspec.Struct):
+    why: str = ""
+    instances: int | float | str = 0
+
+
+class _Line(msgspec.Struct):
+    m: str
+    txn: str | int = ""
+    props: _Props = msgspec.field(default_factory=_Props)
+    raw: str = ""
+
+
+@dataclass(slots=True)
+class Word:
+    """An answer: its word, under which id, its note, how many copies stand, and the body in base64."""
+
+    word: str
+    txn: str
+    why: str
+    copies: int
+    raw: str
+
+
+_decode = msgspec.json.Decoder(_Line).decode
+
+
+def read(line: bytes, body: int) -> Word:
+    """Raises BadLine for what is no answer at all. Bodies of at most `body` bytes are taken."""
+    try:
+        told = _decode(line)
+        copies = int(float(told.props.instances))
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError, ValueError, OverflowError) as error:
+        raise BadLine(str(error)[:200], []) from None
+    if told.m not in RESULTS and told.m != "FIT":
+        raise BadLine("an unknown word", [])
+    if not decoded(told.raw, body):
+        raise BadLine("a body that is no base64", [])
+    return Word(told.m, str(told.txn), told.props.why, max(0, copies), told.raw)
+
+
+def do(txn: str, offering: str, model: str, ttl: int, once: str | None, raw: str) -> bytes:
+    """Hands a task off. `ttl` in ms. Id, names and body were checked at the door: none needs an escape but
+    the offering, which is the settings' own."""
+    dedupe = b"" if once is None else b',"dedupe":"%b"' % once.encode()
+    return b'{"m":"DO","txn":"%b","props":{"lane":%b,"name":"%b","ttl":%d%b},"raw":"%b"}\n' % (
+        txn.encode(),
+        msgspec.json.encode(offering),
+        model.encode(),
+        ttl,
+        dedupe,
+        raw.encode(),
+    )
+
+
+def undo(txn: str) -> bytes:
+    return b'{"m":"UNDO","txn":"%b"}\n' % txn.encode()
+
+
+def pin(txn: str, model: str, copies: int) -> bytes:
+    return b'{"m":"PIN","txn":"%b","props":{"name":"%b","instances":%d}}\n' % (
+        txn.encode(),
+        model.encode(),
+        copies,
+    )
--- /dev/null
+++ b/martenlead/node/runners.py
@@ -0,0 +1,335 @@
+"""The link to runners: JSON lines over few connections, several hand-offs open on each.
+
+One reader serves all that is open on a connection: answers are found by their txn, time-outs come from one
+heap of the link's, and what is written in one turn of the event loop leaves together. A task of its own has
+only a connection that is being made.
+
+What is proven: as long as the connection has not come up, nothing ran. Once a line was written it may have
+run, whatever follows, until the runner's own word says otherwise.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from collections.abc import Callable
+from heapq import heappop, heappush
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from martenlead.edge.dispatcher import Box, Dispatcher, Known, Out
+from martenlead.interface import Result, Warmth
+from martenlead.node import lines
+from martenlead.node.config import Conn as Told
+from martenlead.node.rpc import BODY, Call
+from martenlead.runnerlink.heard import Heard
+from martenlead.runnerlink.roster import Line
+
+MOST = 32  # connections to one runner, however many descriptors there are
+STALE = 32  # hand-offs given up on one connection whose answers may still come
+SWEEP = 500_000_000  # ns between two looks for connections that stood idle
+
+
+class Sent:
+    """What is open on a connection: a hand-off, or an order."""
+
+    __slots__ = ("conn", "due", "overdue", "told", "txn", "written")
+
+    def __init__(self, txn: str, due: int, overdue: int, told: Callable[[Heard], None]) -> None:
+        self.txn, self.due, self.overdue, self.told = txn, due, overdue, told
+        self.conn: Conn | None = None
+        self.written = 0  # when
+
+
+class Conn(asyncio.Protocol):
+    """One connection, from the wish for it on."""
+
+    def __init__(self, link: RunnerLink, way: Way) -> None:
+        self.link, self.way = link, way
+        self.transport: Any = None
+        self.poll: select.poll | None = None
+        self.open: dict[str, Sent] = {}
+        self.stale: set[str] = set()  # given up: their answers may still come
+        self.queue: list[bytes] = []  # until it is up
+        self.lines = lines.Lines()
+        self.heard = self.since = link.clock()  # since: without anything open
+        self.retired = False  # takes nothing new, ends once nothing is open on it
+
+    # -- the event loop's side
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        now = self.heard = self.link.clock()
+        for sent in self.open.values():
+            sent.written = now
+        transport.writelines(self.queue)
+        self.queue.clear()
+        if self.retired and not self.open:
+            self.end()
+
+    def data_received(self, data: bytes) -> None:
+        self.heard = self.link.clock()
+        bad = ""
+        try:
+            done = self.lines.feed(data)
+        except lines.BadLine as error:
+            done, bad = error.done, str(error)
+        for line in done:
+            try:
+                self._answered(lines.read(line, BODY))
+            except lines.BadLine as error:
+                bad = str(error)
+                break
+        if bad:
+            self.link.dispatcher.counts["runner", "spoilt"] += 1
+            self.end("what came cannot be read")
+
+    def eof_received(self) -> None:
+        return None  # the transport closes
+
+    def connection_lost(self, _error: Exception | None) -> None:
+        self.end("the connection ended")
+
+    # -- ours
+
+    def send(self, sent: Sent, line: bytes) -> None:
+        sent.conn = self
+        self.open[sent.txn] = sent
+        if self.transport is None:
+            self.queue.append(line)
+        else:
+            sent.written = self.link.clock()
+            self.transport.write(line)
+
+    def take_back(self, sent: Sent) -> bool:
+        """Gives it up; whether it may have run. A connection that has said nothing since it was written gets
+        nothing new: the machine behind it may have vanished without a word."""
+        self.open.pop(sent.txn, None)
+        if self.transport is None:
+            at = list(self.open)  # the queue stands in the order of what is open
+            self.queue = [line for line in self.queue if not self._is(line, sent.txn)]
+            self._free(bool(at))
+            return False
+        self.transport.write(lines.undo(sent.txn))
+        self.stale.add(sent.txn)
+        if self.heard <= sent.written or len(self.stale) > STALE:
+            self.retired = True
+        self._free(bool(self.open))
+        return True
+
+    @staticmethod
+    def _is(line: bytes, txn: str) -> bool:
+        return b'"txn":"%b"' % txn.encode() in line[:64]
+
+    def _free(self, busy: bool) -> None:
+        if busy:
+            return
+        self.since = self.link.clock()
+        if self.retired and self.transport is not None:
+            self.end()
+
+    def _answered(self, word: lines.Word) -> None:
+        sent = self.open.pop(word.txn, None)
+        if sent is None:
+            self.stale.discard(word.txn)
+            return  # nobody waits for it any more, or nobody ever asked
+        result = lines.RESULTS.get(word.word, Result.ERROR)
+        warmth = lines.WARMTH.get(word.why, Warmth.UNTOLD)
+        content = word.raw if result is Result.SATISFIED else None
+        self._free(bool(self.open))
+        sent.told(Heard(result, warmth, content=content, why=word.word, copies=word.copies))
+
+    def overdue(self, now: int) -> bool:
+        """Silent under work that should have ended."""
+        first = next(iter(self.open.values()), None)
+        return first is not None and now > first.overdue and self.heard <= first.written
+
+    def dead(self) -> bool:
+        """Anything to read on an idle connection is its end, or bytes that answer nothing."""
+        if self.poll is None:
+            self.poll = select.poll()
+            self.poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(self.poll.poll(0))
+
+    def end(self, why: str = "") -> None:
+        """Closes it; all that is open on it ends. The first call counts."""
+        if self not in self.way.conns:
+            return
+        self.way.conns.discard(self)
+        transport, opened = self.transport, list(self.open.values())
+        self.open.clear()
+        if transport is not None:
+            transport.abort() if why else transport.close()
+        result = Result.UNREACHED if transport is None else Result.BROKEN
+        for sent in opened:
+            sent.told(Heard(result, why=why))
+
+
+class Way:
+    """The connections to one runner."""
+
+    def __init__(self, line: Line) -> None:
+        self.host, self.port = line.host, line.port
+        self.conns: set[Conn] = set()
+        self.opened = 0
+        self.left = False
+
+    @property
+    def open(self) -> int:
+        return len(self.conns)
+
+
+class RunnerLink:
+    def __init__(self, told: Told, sockets: int, soft: dict[str, int], clock: Callable[[], int]) -> None:
+        """`sockets` may be open to all runners together; `soft` are the offerings' soft limits, ns."""
+        self.told, self.sockets, self.soft, self.clock = told, sockets, soft, clock
+        self.dispatcher: Dispatcher
+        self.ways: set[Way] = set()
+        self._group: TaskGroup
+        self._heap: list[tuple[int, int, Sent]] = []
+        self._count = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._at = 0
+
+    def use(self, dispatcher: Dispatcher) -> None:
+        self.dispatcher = dispatcher
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as self._group:
+            while True:
+                await anyio.sleep(SWEEP / 1e9)
+                self.sweep()
+
+    def sweep(self) -> None:
+        """Closes what stood idle, well before the runner would: what is written as it closes may have run."""
+        now = self.clock()
+        for way in list(self.ways):
+            for conn in list(way.conns):
+                old = way.left or conn.retired or now - conn.since > self.told.idle // 2
+                if old and not conn.open and conn.transport is not None:
+                    conn.end()
+            if way.left and not way.conns:
+                self.ways.discard(way)
+
+    def way(self, line: Line) -> Way:
+        way = Way(line)
+        self.ways.add(way)
+        return way
+
+    def leave(self, way: Way) -> None:
+        way.left = True
+        for conn in list(way.conns):
+            conn.retired = True
+            if not conn.open and conn.transport is not None:
+                conn.end()
+        if not way.conns:
+            self.ways.discard(way)
+
+    # -- hand-offs and orders
+
+    def hand_off(self, out: Out) -> None:
+        hand_off, call = out.hand_off, out.held.content
+        assert isinstance(call, Call)
+        now = self.clock()
+        left = hand_off.patience + hand_off.sent - now
+        if left <= 0:
+            self.dispatcher.ended(out, Heard(Result.NOT_SENT, why="the time was over before it was sent"))
+            return
+        overdue = now + self.soft.get(call.method, 0)
+        sent = out.at = Sent(call.id, now + left, overdue, lambda heard: self.dispatcher.ended(out, heard))
+        ttl = max(1, left // 1_000_000)
+        line = lines.do(call.id, call.method, call.key, ttl, call.once, call.blob)
+        self._send(out.box.way, sent, line)
+
+    def call_off(self, out: Out) -> None:
+        sent: Sent | None = out.at
+        conn = sent.conn if sent is not None else None
+        if sent is None or conn is None or conn.open.get(sent.txn) is not sent:
+            return  # its end is on its way
+        ran = conn.take_back(sent)
+        result = Result.CALLED_OFF if ran else Result.NOT_SENT
+        sent.told(Heard(result, why="called off"))
+
+    def order(self, box: Box, known: Known, copies: int, told: Callable[[Heard], None]) -> None:
+        self._count += 1
+        now = self.clock()
+        sent = Sent(f"o{self._count}", now + self.told.order, now + self.told.order, told)
+        self._send(box.way, sent, lines.pin(sent.txn, known.name, copies))
+
+    def _send(self, way: Way, sent: Sent, line: bytes) -> None:
+        conn = self._pick(way, sent.txn)
+        if conn is None:
+            sent.told(Heard(Result.NOT_SENT, why="all connections are busy"))
+            return
+        conn.send(sent, line)
+        self._count += 1
+        heappush(self._heap, (sent.due, self._count, sent))
+        self._arm()
+
+    def _pick(self, way: Way, txn: str) -> Conn | None:
+        """One that stands idle, the last used first; else a new one while there may be; else the one with
+        the least open. Never one that has met this task already: its two answers would be the same."""
+        now = self.clock()
+        idle, busy = None, None
+        for conn in list(way.conns):
+            if conn.retired or txn in conn.open or txn in conn.stale:
+                continue
+            if not conn.open and conn.transport is not None:
+                if now - conn.since > self.told.idle // 2 or conn.dead():
+                    conn.end("ended while it was idle")
+                elif idle is None or conn.since > idle.since:
+                    idle = conn
+            elif (
+                len(conn.open) < self.told.streams
+                and not conn.overdue(now)
+                and (busy is None or len(conn.open) < len(busy.open))
+            ):
+                busy = conn
+        if idle is not None:
+            return idle
+        most = min(MOST, max(1, self.sockets // max(1, len(self.ways))))
+        if len(way.conns) >= most:
+            return busy
+        conn = Conn(self, way)
+        way.conns.add(conn)
+        self._group.start_soon(self._connect, conn)
+        return conn
+
+    async def _connect(self, conn: Conn) -> None:
+        way = conn.way
+        way.opened += 1
+        loop = asyncio.get_running_loop()
+        try:
+            with anyio.fail_after(self.told.connect / 1e9):
+                await loop.create_connection(lambda: conn, way.host, way.port)
+        except (OSError, TimeoutError):
+            conn.end("no connection")
+
+    # -- time-outs
+
+    def _arm(self) -> None:
+        while self._heap and not self._waits(self._heap[0][2]):
+            heappop(self._heap)
+        if self._heap and (self._timer is None or self._heap[0][0] < self._at):
+            if self._timer is not None:
+                self._timer.cancel()
+            self._at = self._heap[0][0]
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(max(0.001, (self._at - self.clock()) / 1e9), self._expire)
+
+    @staticmethod
+    def _waits(sent: Sent) -> bool:
+        return sent.conn is not None and sent.conn.open.get(sent.txn) is sent
+
+    def _expire(self) -> None:
+        self._timer = None
+        now = self.clock()
+        while self._heap and self._heap[0][0] <= now:
+            sent = heappop(self._heap)[2]
+            if self._waits(sent):
+                assert sent.conn is not None
+                ran = sent.conn.take_back(sent)
+                sent.told(Heard(Result.SILENT if ran else Result.UNREACHED, why="no answer in time"))
+        self._arm()
--- /dev/null
+++ b/martenlead/node/serve.py
@@ -0,0 +1,127 @@
+"""A real dispatcher on the platform, from its configuration to its end."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import anyio
+import structlog
+
+from martenlead.edge.dispatcher import Dispatcher
+from martenlead.node import config
+from martenlead.node.door import Client, Door
+from martenlead.node.roster import JournalSource
+from martenlead.node.runners import RunnerLink
+
+OWN = 40  # descriptors for the listener, the event loop, the journal service and what the interpreter opens
+STOPPING = 0.8  # s after SIGTERM in which clients still come
+HELD = 1 / 8  # of the memory limit, for bodies of tasks that are held
+
+
+def clock() -> Callable[[], int]:
+    """The system's Unix clock as it stood at the start, ns, and steady from there."""
+    ahead = time.time_ns() - time.monotonic_ns()
+    return lambda: time.monotonic_ns() + ahead
+
+
+class Node:
+    def __init__(self, path: Path) -> None:
+        """Raises config.BadConfig."""
+        self.path = path
+        self.told = told = config.read(path)
+        now = clock()
+        sockets = max(16, told.limits.sockets - OWN)
+        soft = {name: o.soft_limit for name, o in told.about.offerings.items()}
+        self.link = RunnerLink(told.conn, sockets // 2, soft, now)
+        self.source = JournalSource(told.about.name, told.journal, told.known, told.places)
+        self.dispatcher = Dispatcher(told.about, self.link, self.source, now)
+        held = int(told.limits.memory_mb * 2**20 * HELD)
+        self.door = Door(self.dispatcher, sockets // 2, max(100, int(told.limits.memory_mb * 8)), held)
+        self.log = structlog.get_logger().bind(edge=told.about.name)
+
+    async def serve(self, started: Callable[[], None] | None = None) -> None:
+        """Until SIGTERM has been obeyed. Raises OSError for the listener."""
+        loop = asyncio.get_running_loop()
+        async with anyio.create_task_group() as group:
+            with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+                group.start_soon(self.dispatcher.run)
+                group.start_soon(self.door.run)
+                await self.dispatcher.listed.wait()
+                host, port = self.told.listen
+                server = await loop.create_server(lambda: Client(self.door), host, port, backlog=512)
+                self.log.info("serves", host=host, port=port)
+                if started is not None:
+                    started()
+                async for got in signals:
+                    if got is not signal.SIGHUP:
+                        break
+                    self.reload()
+                self.log.info("stops", held=len(self.dispatcher.held))
+                await self._stop(server)
+            self.log.info(
+                "stopped", counts={" ".join(k): n for k, n in sorted(self.dispatcher.counts.items())}
+            )
+            group.cancel_scope.cancel()
+
+    def reload(self) -> None:
+        """Takes over where the journal service is; nothing that is held is touched. A file that cannot be
+        read leaves the old one in force."""
+        try:
+            told = config.read(self.path)
+        except config.BadConfig as error:
+            self.log.warning("the configuration stays as it was", why=str(error))
+            return
+        self.source.move(told.journal)
+        self.log.info("the configuration was read again", journal=told.journal)
+
+    async def _stop(self, server: asyncio.Server) -> None:
+        """Clients still come for a while, and all that was taken is answered."""
+        dispatcher = self.dispatcher
+        await anyio.sleep(STOPPING)
+        server.close()
+        longest = max(dispatcher.hard.values(), default=0) / 1e9
+        with anyio.move_on_after(longest):
+            while dispatcher.held:
+                await anyio.sleep(0.01)
+        dispatcher.hasten()
+        for client in list(self.door.clients):
+            client.close()
+        with anyio.move_on_after(0.3):
+            while self.door.closing:
+                await anyio.sleep(0.01)
+
+
+def configure_log() -> None:
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+
+
+def main() -> int:
+    configure_log()
+    try:
+        node = Node(Path(os.environ.get("ROUTER_CONFIG", "")))
+    except config.BadConfig as error:
+        structlog.get_logger().error("no configuration that can be used", why=str(error))
+        return 2
+    # as in edge/serve.py: what stands at the start is left out of collections, and the young are few
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(5_000, 20, 20)
+    anyio.run(node.serve, backend_options={"use_uvloop": True})
+    return 0
--- a/martenlead/runnerlink/outcomes.py
+++ b/martenlead/runnerlink/outcomes.py
@@ -6,11 +6,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from martenlead.events.client import End, Exchange
 from martenlead.events.http import Message
 from martenlead.interface import Result, Warmth
+from martenlead.runnerlink.heard import Heard
 
 NEVER_RAN = (
     b"martenlead-never-ran"  # the runner's word, on a 503 or 404: it has not begun the task and will not
@@ -45,18 +44,6 @@
 before a connection was asked for is NOT_SENT."""
 
 
-@dataclass(slots=True)
-class Heard:
-    """What one exchange told: its result, the copy it met, and whether the runner says that it drains."""
-
-    result: Result
-    warmth: Warmth = Warmth.UNTOLD
-    drains: bool = False
-    message: Message | None = None
-    why: str = ""
-    failure: str = ""  # of a load
-
-
 def heard(exchange: Exchange) -> Heard:
     """Reads an exchange of a hand-off. Every one maps to exactly one `Result`."""
     message = exchange.message
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -14,6 +14,7 @@
 
 from martenlead.config.edge import Edge, check
 from martenlead.config.load import decode
+from martenlead.edge import httplink
 from martenlead.edge.border import Tape
 from martenlead.edge.dispatcher import Dispatcher
 from martenlead.edge.door import Door
@@ -240,7 +241,7 @@
         group.start_soon(serve_roster)
         config = {"seed": 5, "roster": {"port": f.roster_port}, "offerings": OFFERINGS, **settings}
         f.edge = check(decode(config, Edge, "test"), "test")
-        f.dispatcher = Dispatcher(f.edge, tape=tape)
+        f.dispatcher = httplink.dispatcher(f.edge, tape=tape)
         f.door = Door(f.dispatcher, f.edge)
         group.start_soon(f.dispatcher.run)
         door, f.port = await listen("127.0.0.1", 0)
--- /dev/null
+++ b/tests/nodes.py
@@ -0,0 +1,308 @@
+"""A real dispatcher on the platform's protocol, in this process, and scripted peers around it."""
+
+from __future__ import annotations
+
+import json
+import struct
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
+from pathlib import Path
+from socket import SO_LINGER, SOL_SOCKET
+from typing import Any
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+
+from martenlead.node.serve import Node
+from tests.fleet import GONE, until
+
+Part = Callable[["Runner", SocketStream, dict[str, Any]], Awaitable[None]]
+BROKEN = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
+SETTINGS: dict[str, Any] = {
+    "balancers": 1,
+    "granularity": 0.001,
+    "azs": ["east"],
+    "skus": ["std"],
+    "weights": "nominal",
+    "allowed": {
+        "attempts-cap": 5,
+        "cancel": True,
+        "may-duplicate": False,
+        "retry-after": True,
+        "max-retry-after": 2.0,
+        "connect-timeout": 0.25,
+        "conn-idle": 30.0,
+        "streams-per-conn": 32,
+    },
+    "rules": {"cold-from": 0.2, "cold": 10.0, "fall-multiple": 2.5, "ask-every": 10.0},
+    "family-info": {"if-cold": "load", "kind-memory-mb": [50_000], "linger-idle": 5.0, "tells-warm": True},
+    "orgs": [{"name": "acme", "quota-per-s": 1000.0}],
+    "classes": [
+        {"name": "safe", "effect": "read_like", "on-time": 0.4, "give-up": 2.0},
+        {
+            "name": "keyed",
+            "effect": "idempotency_key",
+            "on-time": 0.4,
+            "give-up": 2.0,
+            "group": "all",
+            "dedup-window": 8.0,
+        },
+        {"name": "unsafe", "effect": "non_idempotent", "on-time": 0.4, "give-up": 2.0},
+    ],
+}
+
+
+def answer(word: str, txn: str, why: str = "", raw: str = "", **more: Any) -> bytes:
+    props = {**({"why": why} if why else {}), **more}
+    return json.dumps({"m": word, "txn": txn, "props": props, "raw": raw}).encode() + b"\n"
+
+
+def says(word: str, why: str = "resident") -> Part:
+    async def part(_runner: Runner, stream: SocketStream, message: dict[str, Any]) -> None:
+        await stream.send(answer(word, message["txn"], why, message["raw"] if word == "DONE" else ""))
+
+    return part
+
+
+def raw(data: bytes, *, end: bool = False, reset: bool = False) -> Part:
+    """Writes this, with the txn in place of %TXN%, and ends the connection if asked to."""
+
+    async def part(_runner: Runner, stream: SocketStream, message: dict[str, Any]) -> None:
+        if data:
+            await stream.send(data.replace(b"%TXN%", message["txn"].encode()))
+        if reset:
+            linger(stream)
+        if end or reset:
+            await anyio.aclose_forcefully(stream)
+
+    return part
+
+
+def linger(stream: SocketStream) -> None:
+    stream.extra(SocketAttribute.raw_socket).setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
+
+
+def after(ms: float, part: Part) -> Part:
+    async def later(runner: Runner, stream: SocketStream, message: dict[str, Any]) -> None:
+        await anyio.sleep(ms / 1000)
+        await part(runner, stream, message)
+
+    return later
+
+
+done, silent = says("DONE"), raw(b"")
+
+
+class Runner:
+    """Plays its parts in turn, one a DO, the last for the rest; orders find their copies at once."""
+
+    def __init__(self, name: str, parts: list[Part], log: list[str]) -> None:
+        self.name, self.parts, self.log = name, parts, log
+        self.listener: Any = None
+        self.port = 0
+        self.connections = self.open = 0
+        self.streams: list[SocketStream] = []
+
+    async def serve(self) -> None:
+        self.listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=self.port)
+        self.port = self.listener.extra(SocketAttribute.local_port)
+        with suppress(*GONE):
+            await self.listener.serve(self.connected)
+
+    async def connected(self, stream: SocketStream) -> None:
+        self.connections += 1
+        self.open += 1
+        self.streams.append(stream)
+        held = b""
+        async with stream, anyio.create_task_group() as group:
+            with suppress(*BROKEN):
+                while True:
+                    *lines, held = (held + await stream.receive()).split(b"\n")
+                    for line in lines:
+                        message = json.loads(line)
+                        about = message["props"]["name"] if message["m"] == "PIN" else message["txn"]
+                        self.log.append(f"{self.name} {message['m']} {about[-2:]}")
+                        if message["m"] == "DO":
+                            part = self.parts.pop(0) if len(self.parts) > 1 else self.parts[0]
+                            group.start_soon(self.play, part, stream, message)
+                        elif message["m"] == "PIN":
+                            await stream.send(answer("DONE", message["txn"], instances="1"))
+            group.cancel_scope.cancel()
+        self.open -= 1
+
+    async def play(self, part: Part, stream: SocketStream, message: dict[str, Any]) -> None:
+        with suppress(*BROKEN):
+            await part(self, stream, message)
+
+
+class Journal:
+    """A journal service: whoever connects is told all behind its number, then what comes."""
+
+    def __init__(self) -> None:
+        self.events: list[bytes] = []
+        self.asked: list[int] = []
+        self.streams: list[SocketStream] = []
+        self.port = 0
+        self.beats = True
+
+    async def serve(self) -> None:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        self.port = listener.extra(SocketAttribute.local_port)
+        await listener.serve(self.connected)
+
+    async def connected(self, stream: SocketStream) -> None:
+        async with stream:
+            with suppress(*BROKEN):
+                number = int.from_bytes(await stream.receive(8), "big")
+                self.asked.append(number)
+                await stream.send(b"".join(self.events[number - 1 :]))  # the first stands in `known`
+                self.streams.append(stream)
+                while True:
+                    await anyio.sleep(0.2)
+                    if self.beats:
+                        await stream.send(frame(len(self.events) + 1, 0))
+
+    async def tell(self, *records: bytes, kind: int = 2, cut: int | None = None) -> None:
+        event = frame(len(self.events) + 2, kind, *records)
+        self.events.append(event)
+        for stream in self.streams:
+            with suppress(*BROKEN):
+                await stream.send(event[:cut])
+
+
+def frame(number: int, kind: int, *records: bytes) -> bytes:
+    payload = b"".join(records)
+    return struct.pack(">IQB", 9 + len(payload), number, kind) + payload
+
+
+def record(number: int, port: int, state: int = 0, started: int = 0) -> bytes:
+    return struct.pack(">IIHBBBHIQ", number, 0x7F000001, port, state, 0, 0, 0, 1000, started)
+
+
+class Caller:
+    """One client connection."""
+
+    def __init__(self, stream: SocketStream) -> None:
+        self.stream = stream
+        self.held = b""
+        self.number = 0
+
+    async def send(self, data: bytes) -> None:
+        await self.stream.send(data)
+
+    async def ask(self, method: str = "safe", **more: Any) -> int:
+        """Sends a task that keeps the form, but for what is given; its number."""
+        self.number += 1
+        params = {"id": f"{self.number:016x}", "wait": 1500, "tenant": "acme", "key": "0" * 15 + "1"}
+        params = {k: v for k, v in {**params, "blob": "Ym9keQ==", **more}.items() if v is not None}
+        await self.send(message({"jsonrpc": "2.0", "id": self.number, "method": method, "params": params}))
+        return self.number
+
+    async def answer(self, within: float = 5) -> dict[str, Any] | None:
+        """The next one; None where the connection has ended."""
+        with anyio.fail_after(within):
+            while True:
+                head, found, rest = self.held.partition(b"\r\n\r\n")
+                if found:
+                    length = int(head.split(b":")[1])
+                    if len(rest) >= length:
+                        self.held = rest[length:]
+                        told: dict[str, Any] = json.loads(rest[:length])
+                        return told
+                try:
+                    self.held += await self.stream.receive()
+                except BROKEN:
+                    return None
+
+    async def call(self, method: str = "safe", **more: Any) -> str:
+        """One task, and its answer in a word."""
+        await self.ask(method, **more)
+        return word(await self.answer())
+
+
+def message(told: Any) -> bytes:
+    body = json.dumps(told).encode()
+    return b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+def word(told: dict[str, Any] | None) -> str:
+    if told is None:
+        return "closed"
+    if "result" in told:
+        return "satisfied"
+    return "turned back" if told["error"]["code"] == -32001 else f"error {told['error']['code']}"
+
+
+class Play:
+    def __init__(self) -> None:
+        self.log: list[str] = []
+        self.runners: dict[str, Runner] = {}
+        self.journal = Journal()
+        self.node: Node
+        self.path: Path
+        self.port = 0
+        self.group: Any
+        self.ended = False
+
+    def record(self, name: str, state: int = 0, started: int = 0) -> bytes:
+        return record(ord(name), self.runners[name].port, state, started)
+
+    async def runner(self, name: str, *parts: Part, port: int = 0) -> Runner:
+        runner = self.runners[name] = Runner(name, list(parts), self.log)
+        runner.port = port
+        self.group.start_soon(runner.serve)
+        await until(lambda: runner.listener)
+        return runner
+
+    def write(self, journal: int, **more: Any) -> None:
+        members = [
+            {"id": f"s-{ord(n):08x}", "host_port": f"127.0.0.1:{r.port}", "locality": "east", "flavor": "std"}
+            | {"cell": 0, "phase": "in_service", "size": 1.0, "up_since_ms": 0}
+            for n, r in self.runners.items()
+        ]
+        config = {
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.port}",
+            "seed": "5",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+            "journal": f"127.0.0.1:{journal}",
+            "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"complete": True, "members": members}}]},
+            "settings": SETTINGS,
+        }
+        self.path.write_text(json.dumps(config | more))
+
+    async def client(self) -> Caller:
+        return Caller(await anyio.connect_tcp("127.0.0.1", self.port))
+
+    def did(self, what: str = "DO") -> list[str]:
+        return [line for line in self.log if f" {what} " in line]
+
+
+@asynccontextmanager
+async def play(
+    tmp_path: Path, parts: dict[str, list[Part]] | None = None, **more: Any
+) -> AsyncIterator[Play]:
+    p = Play()
+    p.path = tmp_path / "config.json"
+    async with anyio.create_task_group() as p.group:
+        for name, its in (parts or {"a": [done]}).items():
+            await p.runner(name, *its)
+        p.group.start_soon(p.journal.serve)
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        p.port = listener.extra(SocketAttribute.local_port)
+        await listener.aclose()
+        await until(lambda: p.journal.port)
+        p.write(p.journal.port, **more)
+        p.node = Node(p.path)
+        started = anyio.Event()
+
+        async def serve() -> None:
+            await p.node.serve(started.set)
+            p.ended = True
+
+        p.group.start_soon(serve)
+        with anyio.fail_after(10):
+            await started.wait()
+        await until(lambda: p.journal.asked)
+        yield p
+        p.group.cancel_scope.cancel()
--- a/tests/pair.py
+++ b/tests/pair.py
@@ -97,7 +97,7 @@
 
     # what a dispatcher does
 
-    def _fault(self, error: Exception) -> None:
+    def fault(self, error: Exception) -> None:
         raise error
 
     def _rearm(self) -> None:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -9,6 +9,7 @@
 import anyio
 import pytest
 
+from martenlead.edge import httplink
 from martenlead.edge.door import Admin
 from martenlead.events.http import Message
 from martenlead.runnerlink import roster
@@ -103,10 +104,9 @@
         # a second edge, whose roster nobody serves
         from martenlead.config.edge import Edge
         from martenlead.config.load import decode
-        from martenlead.edge.dispatcher import Dispatcher
 
         settings = {"roster": {"port": 1, "kept": str(path)}, "offerings": [{"name": "x"} | LIMITS]}
-        second = Dispatcher(decode(settings, Edge, "test"))
+        second = httplink.dispatcher(decode(settings, Edge, "test"))
         f.group.start_soon(second.run)
         await until(lambda: len(second.state()["runners"]) == 2)
         assert [r["state"] for r in second.state()["runners"]] == ["up", "up"]
--- a/tests/test_handoffs.py
+++ b/tests/test_handoffs.py
@@ -74,7 +74,7 @@
             await f.call(ident="where")
             home = f.arrivals[0][1]
             await f.runners[home].listener.aclose()
-            await f.dispatcher.boxes[home].pool.close()
+            await f.dispatcher.boxes[home].way.pool.close()
             await anyio.sleep(0.02)
             status, told = await f.call(kind)
             # its home holds the copy, so the module loads nowhere else; that it may come again is the proof
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,351 @@
+"""The platform's protocol from end to end: what becomes of tasks; bad clients and bad peers."""
+
+from __future__ import annotations
+
+import os
+import signal
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+
+from tests.fleet import until
+from tests.nodes import after, answer, done, linger, message, play, raw, record, says, silent, word
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_a_ping_and_a_task_from_end_to_end(tmp_path: Path) -> None:
+    async with play(tmp_path) as p:
+        client = await p.client()
+        await client.send(message({"jsonrpc": "2.0", "id": 1, "method": "ping", "params": {}}))
+        assert await client.answer() == {"jsonrpc": "2.0", "id": 1, "result": {"up": True}}
+        client.number = 1
+        await client.ask(id="00000000000000aa", wait=2000, props="memory_mb:512;lanes:2;load_ms:640")
+        assert await client.answer() == {"jsonrpc": "2.0", "id": 2, "result": {"blob": "Ym9keQ=="}}
+        assert p.did() == ["a DO aa"]
+
+
+async def test_answers_come_in_any_order_over_one_connection(tmp_path: Path) -> None:
+    async with play(tmp_path, {"a": [after(300, done), done]}) as p:
+        client = await p.client()
+        await client.ask(blob="c2xvdw==")
+        await until(p.did)
+        await client.ask(blob="ZmFzdA==")
+        told = [await client.answer(), await client.answer()]
+        assert [(t or {})["id"] for t in told] == [2, 1]
+        assert [(t or {})["result"]["blob"] for t in told] == ["ZmFzdA==", "c2xvdw=="]
+
+
+# what a runner does, and for each kind of task: how often it went out (to two runners) and its end
+ENDS: dict[str, tuple[Any, dict[str, tuple[int, str]]]] = {
+    "LACK": (says("LACK", ""), {"safe": (2, "satisfied"), "unsafe": (2, "satisfied")}),
+    "WAIT": (says("WAIT", ""), {"safe": (2, "satisfied"), "unsafe": (2, "satisfied")}),
+    "PAST": (says("PAST", ""), {"safe": (2, "satisfied"), "unsafe": (2, "satisfied")}),
+    "BROKE": (
+        says("BROKE", ""),
+        {"safe": (2, "satisfied"), "keyed": (2, "satisfied"), "unsafe": (1, "error -32000")},
+    ),
+    "a close": (raw(b"", end=True), {"safe": (2, "satisfied"), "unsafe": (1, "error -32000")}),
+    "a reset": (raw(b"", reset=True), {"safe": (2, "satisfied"), "unsafe": (1, "error -32000")}),
+    "noise": (raw(b"\x00\xff noise\n"), {"safe": (2, "satisfied"), "unsafe": (1, "error -32000")}),
+    "an endless line": (raw(b"x" * 200_000), {"safe": (2, "satisfied"), "unsafe": (1, "error -32000")}),
+    "an unknown word": (raw(answer("TELL", "%TXN%")), {"unsafe": (1, "error -32000")}),
+    "bad base64": (raw(answer("DONE", "%TXN%", raw="a=b")), {"unsafe": (1, "error -32000")}),
+    "cut short": (raw(b'{"m":"DONE","txn":"%TXN%"', end=True), {"unsafe": (1, "error -32000")}),
+    "no object": (raw(b"[1]\n"), {"unsafe": (1, "error -32000")}),
+    "a figure that is none": (
+        raw(b'{"m":"DONE","txn":"%TXN%","props":{"instances":"1e999"}}\n'),
+        {"unsafe": (1, "error -32000")},
+    ),
+}
+
+
+@pytest.mark.parametrize("what", ENDS)
+async def test_ends_of_a_hand_off_prove_what_they_prove(what: str, tmp_path: Path) -> None:
+    part, expected = ENDS[what]
+    for method, (times, end) in expected.items():
+        first = [part]
+
+        async def either(runner: Any, stream: Any, told: Any, first: list[Any] = first) -> None:
+            await (first.pop() if first else done)(runner, stream, told)
+
+        async with play(tmp_path, {"a": [either], "b": [either]}) as p:
+            client = await p.client()
+            once = "0" * 32 if method == "keyed" else None
+            assert (method, await client.call(method, once=once)) == (method, end)
+            assert (method, len(p.did())) == (method, times)
+
+
+async def test_a_silent_runner_is_taken_back_in_time_and_its_connection_gets_nothing_new(
+    tmp_path: Path,
+) -> None:
+    async with play(tmp_path, {"a": [silent, done]}) as p:
+        client = await p.client()
+        start = anyio.current_time()
+        assert await client.call("unsafe", wait=300) == "error -32000"
+        assert anyio.current_time() - start < 0.6
+        await until(lambda: p.did("UNDO"))
+        assert await client.call("unsafe") == "satisfied"
+        assert p.runners["a"].connections == 2
+
+
+async def test_a_late_answer_a_second_one_and_one_under_a_strange_id_are_passed_over(tmp_path: Path) -> None:
+    twice = raw(answer("DONE", "ffffffffffffffff", raw="eA==") + 2 * answer("DONE", "%TXN%", raw="YQ=="))
+    async with play(tmp_path, {"a": [after(500, done), twice, done]}) as p:
+        client = await p.client()
+        assert await client.call("unsafe", wait=250) == "error -32000"
+        await client.ask(id="00000000000000bb")
+        assert (await client.answer() or {})["result"] == {"blob": "YQ=="}
+        await anyio.sleep(0.4)
+        assert await client.call() == "satisfied"
+
+
+async def test_a_refused_connection_proves_that_nothing_ran(tmp_path: Path) -> None:
+    async with play(tmp_path, {"a": [done], "b": [done]}) as p:
+        await p.runners["a"].listener.aclose()
+        client = await p.client()
+        told = [await client.call("unsafe", key=f"{n:016x}") for n in range(6)]
+        assert set(told) <= {"satisfied", "turned back"}  # a further hand-off only where there is credit
+        assert told[0] == "satisfied"
+        assert {line[0] for line in p.did()} == {"b"}
+
+
+async def test_a_connection_that_was_reset_while_idle_is_not_written_to(tmp_path: Path) -> None:
+    async with play(tmp_path) as p:
+        client = await p.client()
+        for _ in range(3):
+            assert await client.call("unsafe") == "satisfied"
+            stream = p.runners["a"].streams.pop()
+            linger(stream)
+            await anyio.aclose_forcefully(stream)
+        assert len(p.did()) == 3
+
+
+async def test_an_abort_ends_the_hand_off_and_no_answer_comes(tmp_path: Path) -> None:
+    async with play(tmp_path, {"a": [silent, done]}) as p:
+        client = await p.client()
+        number = await client.ask(id="00000000000000aa")
+        await until(p.did)
+        await client.send(
+            message({"jsonrpc": "2.0", "method": "abort", "params": {"id": "00000000000000aa"}})
+        )
+        await until(lambda: p.did("UNDO"))
+        assert await client.call() == "satisfied"
+        assert client.number == number + 1
+        assert not p.node.dispatcher.held
+
+
+FIELDS: dict[str, tuple[str, dict[str, Any]]] = {
+    "no id": ("error -32602", {"id": None}),
+    "an id that is none": ("error -32602", {"id": "xyz"}),
+    "an id in capitals": ("error -32602", {"id": "00000000000000AA"}),
+    "no key": ("error -32602", {"key": None}),
+    "a key that is none": ("error -32602", {"key": "../../etc/passwd"}),
+    "no wait": ("error -32602", {"wait": None}),
+    "a negative wait": ("error -32602", {"wait": -1}),
+    "an endless wait": ("error -32602", {"wait": 1e300}),
+    "a wait that is no number": ("error -32602", {"wait": "soon"}),
+    "a negative cost": ("error -32602", {"cost": -1}),
+    "no tenant": ("error -32602", {"tenant": None}),
+    "an unknown tenant": ("error -32602", {"tenant": "nobody"}),
+    "a body that is no base64": ("error -32602", {"blob": "%%%"}),
+    "a body over the limit": ("error -32602", {"blob": "AAAA" * 5600}),
+    "lanes below one": ("error -32602", {"props": "lanes:0"}),
+    "lanes that are no number": ("error -32602", {"props": "lanes:nan;memory_mb:1"}),
+    "props that are none": ("error -32602", {"props": ";;:"}),
+    "a key of an effect that is none": ("error -32602", {"once": "short"}),
+    "params nested deep": ("error -32602", {"props": [[[[[[]]]]]]}),
+}
+
+
+@pytest.mark.parametrize("what", FIELDS)
+async def test_a_task_that_keeps_no_form_is_refused_under_its_number(what: str, tmp_path: Path) -> None:
+    expected, more = FIELDS[what]
+    async with play(tmp_path) as p:
+        client = await p.client()
+        await client.ask(**more)
+        told = await client.answer()
+        assert (word(told), (told or {})["id"]) == (expected, 1)
+        assert await client.call() == "satisfied"
+        assert len(p.did()) == 1
+
+
+async def test_an_unknown_offering_is_an_error(tmp_path: Path) -> None:
+    async with play(tmp_path) as p:
+        assert await (await p.client()).call("nothing") == "error -32601"
+
+
+UNREADABLE = {
+    "no head": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc" * 100,
+    "a head without an end": b"Content-Length: 5\r\n" * 100,
+    "no length": b"X-Y: 5\r\n\r\n",
+    "a negative length": b"Content-Length: -5\r\n\r\n",
+    "a length that is none": b"Content-Length: many\r\n\r\n",
+    "two lengths": b"Content-Length: 2\r\nContent-Length: 2\r\n\r\n{}",
+    "a huge length": b"Content-Length: 99999999999999999999\r\n\r\n",
+    "60 MB": b"Content-Length: 60000000\r\n\r\n" + b"x" * 300_000,
+    "no JSON": b"Content-Length: 5\r\n\r\nxxxxx",
+    "nested without end": b"Content-Length: 60000\r\n\r\n" + b"[" * 60_000,
+    "no UTF-8": b'Content-Length: 7\r\n\r\n{"\xff":1}',
+    "an empty message": b"Content-Length: 0\r\n\r\n",
+    "a batch": b"Content-Length: 2\r\n\r\n[]",
+    "another version": message({"jsonrpc": "1.0", "id": 1, "method": "ping", "params": {}}),
+    "a task without a number": message({"jsonrpc": "2.0", "method": "safe", "params": {}}),
+    "a number that is none": message({"jsonrpc": "2.0", "id": "x", "method": "safe", "params": {}}),
+}
+
+
+@pytest.mark.parametrize("what", UNREADABLE)
+async def test_what_cannot_be_read_is_told_and_the_connection_ends(what: str, tmp_path: Path) -> None:
+    async with play(tmp_path) as p:
+        client = await p.client()
+        await client.send(UNREADABLE[what])
+        assert word(await client.answer()) in ("error -32600", "error -32700", "closed")
+        assert await client.answer() is None
+        assert await (await p.client()).call() == "satisfied"
+
+
+async def test_numbers_and_ids_that_are_open_are_not_taken_twice(tmp_path: Path) -> None:
+    async with play(tmp_path, {"a": [after(300, done)]}) as p:
+        one, two = await p.client(), await p.client()
+        await one.ask(id="00000000000000aa")
+        await until(p.did)
+        assert await two.call(id="00000000000000aa", blob="eA==") == "error -32602"
+        await one.ask(id="00000000000000bb")
+        one.number -= 1
+        await one.ask(id="00000000000000cc")
+        told = [word(await one.answer()), word(await one.answer())]
+        assert told == ["error -32600", "closed"]
+        assert "a DO cc" not in p.did()
+
+
+async def test_more_than_may_be_open_on_a_connection_is_turned_back(tmp_path: Path) -> None:
+    async with play(tmp_path, {"a": [after(200, done)], "b": [after(200, done)]}) as p:
+        client = await p.client()
+        for _ in range(200):
+            await client.ask(wait=1900)
+        told = [word(await client.answer()) for _ in range(200)]
+        assert set(told) <= {"satisfied", "turned back"}
+        assert "satisfied" in told
+        await until(lambda: not p.node.dispatcher.held)
+        assert not p.node.door.ids
+        assert p.node.dispatcher.bytes == 0
+
+
+async def test_silent_connections_end_and_cost_no_one_a_place(tmp_path: Path) -> None:
+    async with play(tmp_path) as p:
+        mute = [await p.client() for _ in range(130)]
+        await mute[-1].send(b"Content-Le")
+        speaks = await p.client()
+        assert await speaks.call() == "satisfied"
+        assert len(p.node.door.clients) <= p.node.door.connections
+        assert await mute[0].answer(within=3) is None
+        assert await mute[-1].answer(within=3) is None
+
+
+async def test_hundreds_taken_back_at_once_leave_nothing_behind(tmp_path: Path) -> None:
+    async with play(tmp_path, {"a": [silent]}) as p:
+        client = await p.client()
+        for _ in range(30):
+            await client.ask()
+        await client.stream.aclose()
+        await until(lambda: not p.node.dispatcher.held and not p.node.door.clients)
+        assert not p.node.door.ids
+        assert not p.node.dispatcher._out
+
+
+async def test_a_client_that_reads_nothing_is_left(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("martenlead.node.door.SLOW", 200_000_000)
+    async with play(tmp_path) as p:
+        client = await p.client()
+        ping = message({"jsonrpc": "2.0", "id": 1, "method": "ping", "params": {}})
+        with pytest.raises((anyio.BrokenResourceError, TimeoutError)):
+            while True:
+                with anyio.fail_after(5):
+                    await client.send(ping * 1000)
+        await until(lambda: not p.node.door.clients and not p.node.door.closing)
+        assert await (await p.client()).call() == "satisfied"
+
+
+async def test_the_journal_is_followed_through_breaks_silence_and_repeats(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("martenlead.node.roster.QUIET", 0.5)
+    async with play(tmp_path) as p:
+        dispatcher, journal = p.node.dispatcher, p.journal
+        await until(lambda: journal.streams)
+        await p.runner("b", done)
+        await journal.tell(p.record("b"), cut=20)  # broken off in the middle
+        await journal.streams.pop().aclose()
+        await until(lambda: len(dispatcher.boxes) == 2 and journal.streams)
+        await journal.streams[0].send(journal.events[0] + b"\xff\xff\xff\xff")  # twice, then noise
+        await until(lambda: len(journal.asked) == 3)
+        journal.streams.clear()
+        journal.beats = False  # silent
+        await p.runner("c", done)
+        await journal.tell(p.record("c"))
+        await until(lambda: "s-00000063" in dispatcher.boxes)
+        assert journal.asked == [1, 1, 2, 2]
+        assert [box.line.state for box in dispatcher.boxes.values()] == ["up"] * 3
+
+
+async def test_a_runner_that_is_gone_is_forgotten_and_its_address_is_another_ones(tmp_path: Path) -> None:
+    async with play(tmp_path) as p:
+        client = await p.client()
+        assert await client.call() == "satisfied"
+        old, way = p.runners["a"], next(iter(p.node.dispatcher.boxes.values())).way
+        await until(lambda: p.journal.streams)
+        await p.journal.tell(record(ord("a"), old.port, state=2))
+        await until(lambda: not p.node.dispatcher.boxes)
+        assert await client.call() == "turned back"
+        await until(lambda: old.open == 0)
+        await p.journal.tell(record(ord("n"), old.port))
+        await until(lambda: p.node.dispatcher.boxes)
+        assert await client.call() == "satisfied"
+        assert way not in p.node.link.ways
+        assert len(p.node.dispatcher.by_runner) == 1
+
+
+async def test_a_configuration_anew_moves_the_journal_and_touches_no_task(tmp_path: Path) -> None:
+    async with play(tmp_path, {"a": [after(400, done)]}) as p:
+        client = await p.client()
+        await client.ask()
+        await until(p.did)
+        p.path.write_text("{")
+        os.kill(os.getpid(), signal.SIGHUP)
+        await anyio.sleep(0.05)
+        before = p.journal
+        moved = p.journal = type(before)()
+        p.group.start_soon(moved.serve)
+        await until(lambda: moved.port)
+        moved.events = before.events
+        p.write(moved.port)
+        os.kill(os.getpid(), signal.SIGHUP)
+        await until(lambda: moved.streams)
+        await p.runner("b", done)
+        await moved.tell(p.record("b"))
+        await until(lambda: len(p.node.dispatcher.boxes) == 2)
+        assert word(await client.answer()) == "satisfied"
+
+
+async def test_a_stop_takes_who_still_comes_answers_all_and_ends(tmp_path: Path) -> None:
+    async with play(tmp_path, {"a": [after(600, done)]}) as p:
+        client = await p.client()
+        await client.ask(wait=1900)
+        await until(p.did)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await anyio.sleep(0.3)
+        late = await p.client()
+        await late.ask(id="00000000000000aa", wait=1900)
+        assert [word(await client.answer()), word(await late.answer())] == ["satisfied"] * 2
+        await until(lambda: p.ended)
+
+
+async def test_models_beyond_the_bound_take_the_place_of_the_longest_unused(tmp_path: Path) -> None:
+    async with play(tmp_path, limits={"cores": 1.0, "memory_mb": 2, "sockets": 256}) as p:
+        client = await p.client()
+        for n in range(150):
+            assert await client.call(key=f"{n:016x}") == "satisfied"
+        assert len(p.node.dispatcher.models) == len(p.node.dispatcher.by_model) == 100
