A runner that answers with errors gets trials only, and its tasks go on elsewhere

Ruled out: the sockets (each was a BROKE that came whole). At fault: Brain.heard counted an error as a sign of life alone, and busy() is least where tasks end at once; Brain.place kept a task from other runners as long as its holder was known, though that one had just failed it.

Changed: part of the last answers that were errors, by runner and offering; beyond 0.4 a trial a second. An error at a second runner is the task's fault, and two end it: bad clients' tasks went to five runners each.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -36,6 +36,8 @@
 KNOWN = 3.0  # answers that a model's latencies of an earlier life count for at most
 GROWTH = 0.4  # of the ration is for new copies: renewals need the rest, and the store its peace
 SPARE = 0.3  # of a runner's width is kept from repeated tasks and those over their customer's share
+BAD_TASK = 2  # runners where it ended in an error: it would at the others too
+FAILING = 0.4  # of a runner's last answers for an offering: from there on it gets trials only
 PAR = SECOND // 10
 BIN = math.log(1.5)
 
@@ -104,6 +106,8 @@
         self.width = width
         self.fulls = self.silent = 0  # turned away, or unanswered, in a row
         self.late = 0.0  # part of the last answers that came late
+        self.failed: dict[io.Offering, float] = {}  # part of the last answers that were errors
+        self.failed_last = -1 << 62
         self.heard = now
         self.widened = self.waiting = self.next = 0  # waiting: since when an answer is overdue
         self.ratio = Histogram()  # of PAR, an answer that took as long as usual
@@ -307,7 +311,7 @@
         return missed * memory / (s.memory_price * tasks) if s.memory_price else math.inf
 
     def capacity(self, copy: Copy) -> float:
-        if copy.runner.fulls > 1:
+        if copy.runner.fulls > 1 or self.fails(copy.runner):
             return 0.0  # a runner that turns tasks away meets no soft limit: copies grow elsewhere
         own, all_copies = copy.latency, copy.model.latency
         lag = self.run_latency(own if own.total >= 3 else all_copies)
@@ -344,7 +348,7 @@
             copy = model.copies.get(runner)
             if len(free) >= max(1, CHOICES // self.settings.front_ends):
                 break
-            if not self.usable(runner) or self.cold(runner):
+            if not self.usable(runner) or self.cold(runner) or self.fails(runner):
                 continue
             if copy and self.warm(copy) and not copy.held and not self.crowded(runner):
                 return runner  # what stands already costs no load
@@ -400,6 +404,11 @@
             return self.now < runner.waiting + SECOND
         return runner.out > 0 and self.now - max(runner.heard, runner.waiting) > 2 * self.soft
 
+    def fails(self, runner: Runner, offering: io.Offering | None = None) -> bool:
+        """What fails at once stands idle and looks the least busy, so that it draws ever more tasks."""
+        parts = runner.failed.values() if offering is None else (runner.failed.get(offering, 0.0),)
+        return max(parts, default=0.0) > FAILING and self.now < runner.failed_last + SECOND
+
     def alive(self, runner: Runner) -> None:
         runner.heard = self.now
         runner.silent = 0
@@ -431,6 +440,9 @@
         """Where last seen warm; else the less busy of two random holders; else next in the shared order."""
         model: Model = task.model
         known = [c for c in model.copies.values() if (self.warm(c) or c.ordered) and self.usable(c.runner)]
+        known = [c for c in known if not self.fails(c.runner, task.offering)]
+        wrong = [h.runner for h in task.hand_offs if h.result is io.Result.ERROR]
+        known = [c for c in known if c.runner not in wrong]  # it did not lack room there: elsewhere it may go
         fits = [c for c in known if c.runner not in but and self.fit(task, c.runner)]
         warm = [c for c in fits if self.warm(c)]
         warm = [c for c in warm if c.held] or warm  # what no order holds may lapse
@@ -471,6 +483,7 @@
     def fit(self, task: io.Task, runner: Runner) -> bool:
         return (
             self.usable(runner)
+            and not self.fails(runner, task.offering)
             and (runner.credit >= 1 or not task.hand_offs)
             and self.room(runner, task.spare)
             and self.may_repeat(task, runner)
@@ -508,6 +521,8 @@
         last = task.give_up - 3 * s.tick
         tried: set[Runner] = set()
         while self.now < last and len(task.hand_offs) < s.hand_offs:
+            if sum(h.result is io.Result.ERROR for h in task.hand_offs) >= BAD_TASK:
+                break
             runner = self.place(task, tried)
             if runner is None:
                 break
@@ -607,6 +622,8 @@
         copy.out -= 1
         if result in (io.Result.SATISFIED, io.Result.ERROR, io.Result.FULL, io.Result.MISSING):
             self.alive(runner)
+        if result in (io.Result.SATISFIED, io.Result.ERROR) and answer.warmth is not io.Warmth.LOAD_FAILED:
+            self.judge(task, runner, result is io.Result.ERROR)
         if result is io.Result.SATISFIED:
             self.satisfied += 1
             runner.fulls = 0
@@ -647,6 +664,17 @@
         if result is not io.Result.SATISFIED and not copy.out:
             copy.ordered = 0  # the load that they waited for failed, or never began
 
+    def judge(self, task: io.Task, runner: Runner, failed: bool) -> None:
+        """Whose fault an error is: of one that fails at a second runner too, the task's."""
+        before = [h for h in task.hand_offs if h.result is io.Result.ERROR and h.runner is not runner]
+        part = runner.failed.get(task.offering, 0.0)
+        if not failed or not before:
+            runner.failed[task.offering] = part + (failed - part) / 8
+            runner.failed_last = self.now if failed else runner.failed_last
+        elif len(before) == 1:
+            first = before[0].runner.failed
+            first[task.offering] = max(0.0, first[task.offering] - 1 / 8)
+
     def widen(self, runner: Runner, lag: int, soft: int) -> None:
         """Own tasks at a runner: one more a round in time, a fifth fewer when late, once a soft limit."""
         runner.late += ((lag > soft) - runner.late) / 8
--- a/martenlead/capture/checkpoint.py
+++ b/martenlead/capture/checkpoint.py
@@ -120,7 +120,7 @@
     try:
         task.hand_offs = []
         for h in hand_offs[:-1] if told["stand"] == "latest" else hand_offs:
-            h.result = h.result or Result.ERROR
+            h.result = Result.SILENT  # ended, and no error that would end the task
         steps = brain.task(task)
         action = next(steps)
         while not isinstance(action, Wait):
--- a/martenlead/node/config.py
+++ b/martenlead/node/config.py
@@ -11,6 +11,7 @@
 from martenlead.benchlink.settings import Profile, ns
 from martenlead.edge.dispatcher import About
 from martenlead.node.journal import Known, Places
+from martenlead.runnerlink.roster import News
 
 MODELS_PER_MB = 20  # models known at once: some KB each, with their copies
 
@@ -58,7 +59,7 @@
     listen: tuple[str, int]
     journal: tuple[str, int]
     limits: Limits
-    known: Known
+    known: list[News]
     about: About
     places: Places
     conn: Conn
@@ -90,8 +91,7 @@
             ns(allowed.get("conn-idle") or 30.0),
             ns(family.get("order-limit") or 10.0),
         )
-        return Config(
-            address(file.listen), address(file.journal), file.limits, file.known, about, places, conn
-        )
+        known = file.known.news(places)
+        return Config(address(file.listen), address(file.journal), file.limits, known, about, places, conn)
     except (OSError, msgspec.DecodeError, ValueError, KeyError, TypeError, AttributeError) as error:
         raise BadConfig(f"{type(error).__name__}: {error}"[:300]) from None
--- a/martenlead/node/roster.py
+++ b/martenlead/node/roster.py
@@ -6,7 +6,7 @@
 import structlog
 
 from martenlead.edge.dispatcher import Dispatcher
-from martenlead.node.journal import NUMBER, BadFrame, Frames, Known, Places, age
+from martenlead.node.journal import NUMBER, BadFrame, Frames, Places, age
 from martenlead.runnerlink.roster import Gap, List, News
 
 QUIET = 1.6  # s: an empty frame is due each second
@@ -15,7 +15,7 @@
 
 
 class JournalSource:
-    def __init__(self, name: str, at: tuple[str, int], known: Known, places: Places) -> None:
+    def __init__(self, name: str, at: tuple[str, int], known: list[News], places: Places) -> None:
         self.at, self.known, self.places = at, known, places
         self.list = List()
         self.log = structlog.get_logger().bind(edge=name)
@@ -29,9 +29,11 @@
                 self._scope.cancel()
 
     async def run(self, dispatcher: Dispatcher) -> None:
-        for news in self.known.news(self.places):
-            self._tell(dispatcher, news)
-        self.list.version = max(self.list.version, self.known.pos)
+        try:
+            for news in self.known:
+                self._tell(dispatcher, news)
+        except Gap as error:
+            self.log.warning("the events of the configuration are not whole", why=str(error))
         dispatcher.listed.set()
         wait = FIRST_WAIT
         while True:
@@ -65,6 +67,9 @@
             return "the connection ended"
         except (BadFrame, Gap) as error:
             return str(error)
+        except Exception as error:  # news that make no sense must not end the program
+            dispatcher.fault(error)
+            return "a fault of ours"
 
     def _tell(self, dispatcher: Dispatcher, news: News) -> None:
         if news.runners is None or news.version <= self.list.version:
--- a/martenlead/node/serve.py
+++ b/martenlead/node/serve.py
@@ -11,6 +11,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import anyio
 import structlog
@@ -50,6 +51,7 @@
     async def serve(self, started: Callable[[], None] | None = None) -> None:
         """Until SIGTERM has been obeyed. Raises OSError for the listener."""
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._fault)
         async with anyio.create_task_group() as group:
             with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
                 group.start_soon(self.dispatcher.run)
@@ -71,6 +73,12 @@
             )
             group.cancel_scope.cancel()
 
+    def _fault(self, _loop: asyncio.AbstractEventLoop, told: dict[str, Any]) -> None:
+        """Of a callback of the event loop: it costs one connection, and is told as any fault of ours is."""
+        error = told.get("exception")
+        if isinstance(error, Exception) and not isinstance(error, OSError):
+            self.dispatcher.fault(error)
+
     def reload(self) -> None:
         """Takes over where the journal service is; nothing that is held is touched. A file that cannot be
         read leaves the old one in force."""
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -1,7 +1,7 @@
 """The ordinary path of the design, and the failures found on it."""
 
 from martenlead import interface as io
-from tests.play import MS, Play, check
+from tests.play import MS, ONCE, Play, check
 
 
 def test_first_sight_goes_by_the_shared_order_then_sticks() -> None:
@@ -147,3 +147,41 @@
             play.to(ms + 90)
             play.answer()
     check(play, "narrow")
+
+
+def test_a_runner_that_fails_at_once_gets_trials_only() -> None:
+    play = Play()
+    play.wide()
+
+    def answer() -> None:
+        bad = play.hand_offs[-1].runner is play.runners["a"]
+        play.answer(io.Result.ERROR if bad else io.Result.SATISFIED)
+
+    for n in range(8):
+        play.task(f"t{n}", offering=ONCE)
+        play.stands()
+        play.to(20 * n + 2)
+        answer()
+        play.to(20 * n + 20)
+    play.runners["b"].listed = play.runners["c"].listed = False  # nobody else is there
+    for ms in (170, 1400, 1410):
+        play.to(ms)
+        play.task(f"at {ms}", offering=ONCE)
+        if play.hand_offs:
+            answer()
+    check(play, "failing")
+
+
+def test_a_task_that_fails_at_two_runners_is_given_up_and_blames_neither() -> None:
+    play = Play()
+    play.wide()
+    for runner in play.runners.values():
+        runner.credit = 10.0
+    for n in range(6):
+        play.task(f"t{n}")
+        play.stands()
+        while play.hand_offs:
+            play.answer(io.Result.ERROR)
+        play.to(1000 * n + 100)
+    assert all(max(r.failed.values(), default=0) < 0.2 for r in play.runners.values())
+    assert all(sum(f" t{n} -> " in line for line in play.lines) == 2 for n in range(6))
