--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -281,7 +281,7 @@
         await journal.streams.pop().aclose()
         await until(lambda: len(dispatcher.boxes) == 2 and journal.streams)
         await journal.streams[0].send(journal.events[0] + b"\xff\xff\xff\xff")  # twice, then noise
-        await until(lambda: len(journal.asked) == 3)
+        await until(lambda: len(journal.asked) == 3 and len(journal.streams) == 2)
         journal.streams.clear()
         journal.beats = False  # silent
         await p.runner("c", done)
