The module forgets runners that are gone and models nobody asks for

Changed: each check drops copies at runners that are gone, with nothing out, and models whose rate has faded to a hundredth of a task and that hold nothing; a model comes back by its next task.

Tried and left: of the holders of a model, one in the dispatcher's own zone counted as less busy, since crossing costs 0.04.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -34,6 +34,7 @@
 SAFE = 0.5  # of what a cold runner stands if it does as much as the mean one: some do half, chance does more
 NEWS = 4  # answers that tell a runner's pace: where few come, they are kept for longer
 KNOWN = 3.0  # answers that a model's latencies of an earlier life count for at most
+FADED = 0.01  # tasks of a model that its rate still counts: it is checked no more
 GROWTH = 0.4  # of the ration is for new copies: renewals need the rest, and the store its peace
 SPARE = 0.3  # of a runner's width is kept from repeated tasks and those over their customer's share
 BAD_TASK = 2  # runners where it ended in an error: it would at the others too
@@ -245,6 +246,7 @@
             for runner in self.runners:
                 if runner.ratio.total > NEWS:
                     runner.ratio.halve()
+            self.tidy()
             models = sorted(self.models, key=lambda m: (-m.counts[1], m.facts.mark))
             for model in models:
                 model.seen += model.counts[1]
@@ -255,6 +257,19 @@
                 if model.seen > ENOUGH or model.span > LONG * self.period:
                     model.seen, model.span = model.seen / 2, model.span // 2
 
+    def tidy(self) -> None:
+        """Runners that are gone and models that nobody asks for come without end. A model comes back into the
+        checks by its next task."""
+        for model in list(self.models):
+            gone = [r for r, c in model.copies.items() if not r.listed and not c.out and not c.ordered]
+            for runner in gone:
+                del model.copies[runner]
+            if model.home is not None and not model.home.listed:
+                model.home = None
+            used = any(c.held or c.out or c.ordered or self.warm(c) for c in model.copies.values())
+            if model.seen < FADED and not model.counts[1] and model.tasks and not used:
+                del self.models[model]
+
     def check(self, model: Model, seen: float, span: int) -> io.Steps:
         """R is this rate times the front ends, which multiplies chance too: by one deviation of the count,
         copies are added on the least that R may be and released on the most."""
@@ -563,6 +578,7 @@
         self.taken.append(self.now)
         if not s.ration_window and len(self.taken) > 1:
             self.taken.popleft()
+        self.models[model] = None
         model.tasks += 1
         model.cost += (task.cost - model.cost) / min(model.tasks, 60)
         model.last = self.now
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -185,3 +185,22 @@
         play.to(1000 * n + 100)
     assert all(max(r.failed.values(), default=0) < 0.2 for r in play.runners.values())
     assert all(sum(f" t{n} -> " in line for line in play.lines) == 2 for n in range(6))
+
+
+def test_runners_that_are_gone_and_models_out_of_use_are_forgotten() -> None:
+    play = Play()
+    play.served(5, "x")
+    play.served(5, "m")
+    first = play.brain.runners[0]
+    for name in "abc":
+        play.list_one(name, io.State.GONE)
+    play.to(8000)
+    assert all(not model.copies and model.home is None for model in play.brain.models)
+    for name in "abc":
+        play.list_one(name)
+    play.to(200_000)
+    assert not play.brain.models
+    play.task("t1", "x")
+    play.stands()
+    assert list(play.brain.models) == [play.models["x"]]
+    assert first in play.brain.runners
