Errors go to the same runner once more where no other may have the task; less is held

Ruled out: the sockets; the answers were BROKE and whole.

At fault: Brain.task left a runner out for good once it was tried; a task, its hand-offs and the bodies of both ways hold each other until a collection of the oldest (gc threshold 5000, 20, 20 in node/serve.py), which came after minutes.

Changed: after an error with nobody else to go to, the same runner once more, under the same guard; two errors still end a task. Connections that break under a task count as errors in judging a runner; a second error of a task at the same runner counts against nobody. The door lets go of bodies with the answer, and collections come sooner.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -37,6 +37,7 @@
 FADED = 0.01  # tasks of a model that its rate still counts: it is checked no more
 GROWTH = 0.4  # of the ration is for new copies: renewals need the rest, and the store its peace
 SPARE = 0.3  # of a runner's width is kept from repeated tasks and those over their customer's share
+FAILED = frozenset({io.Result.ERROR, io.Result.BROKEN})  # the runner's fault, or else the task's
 BAD_TASK = 2  # runners where it ended in an error: it would at the others too
 FAILING = 0.4  # of a runner's last answers for an offering: from there on it gets trials only
 PAR = SECOND // 10
@@ -539,6 +540,8 @@
             if sum(h.result is io.Result.ERROR for h in task.hand_offs) >= BAD_TASK:
                 break
             runner = self.place(task, tried)
+            if runner is None and task.hand_offs and task.hand_offs[-1].result is io.Result.ERROR:
+                runner = self.place(task, set())  # nobody else may have it: the same runner, once more
             if runner is None:
                 break
             if task.hand_offs:
@@ -638,8 +641,8 @@
         copy.out -= 1
         if result in (io.Result.SATISFIED, io.Result.ERROR, io.Result.FULL, io.Result.MISSING):
             self.alive(runner)
-        if result in (io.Result.SATISFIED, io.Result.ERROR) and answer.warmth is not io.Warmth.LOAD_FAILED:
-            self.judge(task, runner, result is io.Result.ERROR)
+        if (result is io.Result.SATISFIED or result in FAILED) and answer.warmth is not io.Warmth.LOAD_FAILED:
+            self.judge(hand_off, result in FAILED)
         if result is io.Result.SATISFIED:
             self.satisfied += 1
             runner.fulls = 0
@@ -680,16 +683,17 @@
         if result is not io.Result.SATISFIED and not copy.out:
             copy.ordered = 0  # the load that they waited for failed, or never began
 
-    def judge(self, task: io.Task, runner: Runner, failed: bool) -> None:
+    def judge(self, hand_off: io.HandOff, failed: bool) -> None:
         """Whose fault an error is: of one that fails at a second runner too, the task's."""
-        before = [h for h in task.hand_offs if h.result is io.Result.ERROR and h.runner is not runner]
+        task, runner = hand_off.task, hand_off.runner
+        before = [h for h in task.hand_offs if h.result in FAILED and h is not hand_off]
         part = runner.failed.get(task.offering, 0.0)
         if not failed or not before:
             runner.failed[task.offering] = part + (failed - part) / 8
             runner.failed_last = self.now if failed else runner.failed_last
-        elif len(before) == 1:
+        elif len(before) == 1 and before[0].runner is not runner:
             first = before[0].runner.failed
-            first[task.offering] = max(0.0, first[task.offering] - 1 / 8)
+            first[task.offering] = max(0.0, first.get(task.offering, 0.0) - 1 / 8)
 
     def widen(self, runner: Runner, lag: int, soft: int) -> None:
         """Own tasks at a runner: one more a round in time, a fifth fewer when late, once a soft limit."""
--- a/martenlead/node/door.py
+++ b/martenlead/node/door.py
@@ -149,7 +149,7 @@
         client.open.clear()
 
     def _leave(self, held: Held) -> None:
-        held.done = None
+        held.done = held.content = None
         self.ids.pop(held.wanted.id, None)
         held.end(Final.LEFT)
         self.dispatcher.later(self.dispatcher.over, held)
@@ -210,6 +210,9 @@
             client.open.pop(number, None)
             self.ids.pop(call.id, None)
             client.write(answer(number, held))
+            held.content = held.answer = (
+                None  # a task and its hand-offs hold each other until they are collected
+            )
             dispatcher.later(dispatcher.over, held)
 
         # an answer may come before `take` has returned
--- a/martenlead/node/serve.py
+++ b/martenlead/node/serve.py
@@ -127,9 +127,10 @@
     except config.BadConfig as error:
         structlog.get_logger().error("no configuration that can be used", why=str(error))
         return 2
-    # as in edge/serve.py: what stands at the start is left out of collections, and the young are few
+    # as in edge/serve.py, what stands at the start is left out of collections. The rest is small, so that
+    # even a full one is short: tasks and hand-offs hold each other, and what waits to be collected is growth
     gc.collect()
     gc.freeze()
-    gc.set_threshold(5_000, 20, 20)
+    gc.set_threshold(2_000, 5, 5)
     anyio.run(node.serve, backend_options={"use_uvloop": True})
     return 0
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -349,3 +349,21 @@
         for n in range(150):
             assert await client.call(key=f"{n:016x}") == "satisfied"
         assert len(p.node.dispatcher.models) == len(p.node.dispatcher.by_model) == 100
+
+
+async def test_two_hand_offs_of_one_task_to_one_runner_are_not_confused(tmp_path: Path) -> None:
+    async with play(tmp_path, {"a": [says("BROKE", ""), after(100, done)]}) as p:
+        client = await p.client()
+        assert await client.call("keyed", once="0" * 32, wait=1900) == "satisfied"
+        assert len(p.did()) == 2
+        await until(lambda: not p.node.dispatcher._out)
+
+
+async def test_what_a_task_holds_is_let_go_with_its_answer(tmp_path: Path) -> None:
+    async with play(tmp_path) as p:
+        client = await p.client()
+        seen: list[Any] = []
+        take = p.node.dispatcher.take
+        p.node.dispatcher.take = lambda *a, **k: seen.append(take(*a, **k)) or seen[-1]  # type: ignore
+        assert await client.call() == "satisfied"
+        assert [(held.content, held.answer) for held in seen] == [(None, None)]
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -1,7 +1,7 @@
 """The ordinary path of the design, and the failures found on it."""
 
 from martenlead import interface as io
-from tests.play import MS, ONCE, Play, check
+from tests.play import MS, ONCE, POST, Play, check
 
 
 def test_first_sight_goes_by_the_shared_order_then_sticks() -> None:
@@ -204,3 +204,30 @@
     play.stands()
     assert list(play.brain.models) == [play.models["x"]]
     assert first in play.brain.runners
+
+
+def test_an_error_goes_to_the_same_runner_once_more_where_no_other_may_have_it() -> None:
+    play = Play(runners="ade")  # one in the east, two in the west
+    play.wide()
+    play.runners["d"].listed = play.runners["e"].listed = False
+    play.task("warms", offering=POST)
+    play.stands()
+    play.answer()
+    play.runners["d"].listed = play.runners["e"].listed = True
+    for runner in play.runners.values():
+        runner.credit = 10.0
+    play.task("twice", offering=POST)
+    for _ in range(2):
+        play.answer(io.Result.ERROR)
+    play.task("once", offering=ONCE)
+    play.answer(io.Result.ERROR)
+    assert [line.split(maxsplit=1)[1] for line in play.lines if "warms" not in line] == [
+        "twice -> a",
+        "twice error at a",
+        "twice -> a",
+        "twice error at a",
+        "twice scrapped",
+        "once -> a",
+        "once error at a",
+        "once scrapped",
+    ]
