Errors that come at once at a runner count as one

Bad clients send hundreds of tasks at once that no runner can use, and each comes back as an error: five in a row made a runner failing, which then got a trial a second. Ruled out: credit (refusals were of repeats and of tasks over their share) and the sockets (305 of theirs reached runners). At fault: Brain.judge counted each by itself; what speaks for the task, a second error elsewhere, comes after the whole burst.

Changed: an error within 20 ms of the last at its runner is the same one. A runner that fails by itself fails over time.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -39,6 +39,7 @@
 SPARE = 0.3  # of a runner's width is kept from repeated tasks and those over their customer's share
 FAILED = frozenset({io.Result.ERROR, io.Result.BROKEN})  # the runner's fault, or else the task's
 BAD_TASK = 2  # runners where it ended in an error: it would at the others too
+APART = 20 * MS  # errors that come closer than that at a runner are one
 FAILING = 0.4  # of a runner's last answers for an offering: from there on it gets trials only
 PAR = SECOND // 10
 BIN = math.log(1.5)
@@ -688,6 +689,8 @@
         task, runner = hand_off.task, hand_off.runner
         before = [h for h in task.hand_offs if h.result in FAILED and h is not hand_off]
         part = runner.failed.get(task.offering, 0.0)
+        if failed and not before and self.now < runner.failed_last + APART:
+            return  # at once: a client that sends what nobody can use sends much of it
         if not failed or not before:
             runner.failed[task.offering] = part + (failed - part) / 8
             runner.failed_last = self.now if failed else runner.failed_last
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -231,3 +231,15 @@
         "once error at a",
         "once scrapped",
     ]
+
+
+def test_errors_that_come_at_once_are_one() -> None:
+    play = Play()
+    play.wide()
+    for n in range(12):
+        play.task(f"t{n}", offering=ONCE)
+        play.stands()
+        play.answer(io.Result.ERROR)
+        play.to(n)
+    assert {line[-1] for line in play.lines if "->" in line} == {"a"}
+    assert not play.brain.fails(play.runners["a"])
