An id that was answered is not taken again: hundreds under one broke the ration of orders

Probe (every task, order and answer in the log): n18 gave 36 orders while it counted 294 tasks, 94 of them of usual clients, for which 35.7 are allowed. The other 200 came on one connection within 17 ms under one id and were each turned back at once; so did they at five more dispatchers. Ruled out: orders that wait for a connection (1502, 0.5 ms in the median, 11 ms at most), bad clients' other tasks (118 at 198 dispatchers), the count of orders (never above the ration over the tasks it was told of).

At fault: node/door.py, `_take`, refused an id only while its task was open. The protocol has a new id with every request.

Change: ids of tasks that are over are remembered, as many as tasks may be held, and such a task is an error (-32602).

--- a/martenlead/node/door.py
+++ b/martenlead/node/door.py
@@ -116,6 +116,7 @@
         self.wait = dispatcher.about.settings.turn_back_wait // MS
         self.clients: dict[Client, None] = {}  # the oldest first
         self.ids: dict[str, Held] = {}  # of the tasks open here
+        self.spent: dict[str, None] = {}  # ids of tasks that are over, the oldest first
         self.closing: dict[Client, int] = {}  # what was written to them has yet to leave; since when
 
     async def run(self) -> None:
@@ -150,10 +151,17 @@
 
     def _leave(self, held: Held) -> None:
         held.done = held.content = None
-        self.ids.pop(held.wanted.id, None)
+        self._spend(held.wanted.id)
         held.end(Final.LEFT)
         self.dispatcher.later(self.dispatcher.over, held)
 
+    def _spend(self, id: str) -> None:
+        """An id is new with every task: hundreds under one would each count as taken, and make room for orders."""
+        self.ids.pop(id, None)
+        self.spent[id] = None
+        if len(self.spent) > self.tasks:
+            del self.spent[next(iter(self.spent))]
+
     def heard(self, client: Client, message: bytes, now: int) -> None:
         try:
             call = rpc.read(message)
@@ -194,6 +202,8 @@
             raise BadCall(rpc.PARAMS, "tenant: no such tenant", number)
         if call.id in self.ids:
             raise BadCall(rpc.PARAMS, "id: of a request that is open", number)
+        if call.id in self.spent:
+            raise BadCall(rpc.PARAMS, "id: of a request that was answered", number)
         size = len(call.blob)
         if (
             len(client.open) >= OPEN
@@ -208,7 +218,7 @@
 
         def done(held: Held) -> None:
             client.open.pop(number, None)
-            self.ids.pop(call.id, None)
+            self._spend(call.id)
             client.write(answer(number, held))
             held.content = held.answer = (
                 None  # a task and its hand-offs hold each other until they are collected
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -221,6 +221,19 @@
         assert "a DO cc" not in p.did()
 
 
+async def test_an_id_that_was_answered_is_not_taken_again(tmp_path: Path) -> None:
+    """Of hundreds under one id each was turned back at once, and the next taken: orders beyond the ration."""
+    async with play(tmp_path, {"a": [says("WAIT", "")]}) as p:
+        client = await p.client()
+        told = [await client.call(id="00000000000000aa") for _ in range(18)]
+        assert told == ["turned back", *["error -32602"] * 17]
+        assert await client.answer() is None
+        assert len(p.node.dispatcher.border._brain.taken) == 1
+        p.node.door.tasks = 3  # as many as may be held are remembered
+        assert [await (await p.client()).call(id=f"{n:016x}") for n in range(5)] == ["turned back"] * 5
+        assert list(p.node.door.spent) == [f"{n:016x}" for n in range(2, 5)]
+
+
 async def test_more_than_may_be_open_on_a_connection_is_turned_back(tmp_path: Path) -> None:
     async with play(tmp_path, {"a": [after(200, done)], "b": [after(200, done)]}) as p:
         client = await p.client()
