New runners get what they stand: the best rate counts, and tasks whose holders are full go there

Probe of 50,334 tasks turned back without a hand-off: 95% are repeats or over a customer's share; of the other first tries nearly all have holders that are warm runners within their waiting gap, while 31 to 47 of 79 runners are cold and get next to nothing: half of the part of the rate that the storm had halved, a task in 35 s from each dispatcher to each of them.

At fault: brain.py, `cold_gap` (SAFE and the last rate) and `place` (no runner but the holders once there are any).

Change: the best rate of the last periods counts, fading, and the whole of the part; SAFE is gone. A task whose holders are full may go to a runner just started, which holds nothing that a load would push out. Tests: cold_best, new_runner, cold.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -31,7 +31,7 @@
 CROWDED = 1.3  # own tasks at a runner, against its part of all that are out
 FAIR = 0.5  # of a runner's part of all tasks: what one copy counts for at most
 LATE = 0.2  # a part of answers that long tasks alone do not make late
-SAFE = 0.5  # of what a cold runner stands if it does as much as the mean one: some do half, chance does more
+FADING = 0.9  # a period: what is left of the best rate seen
 NEWS = 4  # answers that tell a runner's pace: where few come, they are kept for longer
 KNOWN = 3.0  # answers that a model's latencies of an earlier life count for at most
 FADED = 0.01  # tasks of a model that its rate still counts: it is checked no more
@@ -145,7 +145,7 @@
         self.latency = Histogram()
         self.taken: deque[int] = deque()
         self.orders: deque[int] = deque()
-        self.rate = self.asked = 0.0  # tasks a second, satisfied and first tried, slowly
+        self.rate = self.best = self.asked = 0.0  # a second: satisfied, the best of it, first tried
         self.peers: float = settings.front_ends  # how many like this one carry all tasks
         self.satisfied = self.running = 0
         self.served: dict[io.Customer, int] = {}
@@ -236,6 +236,7 @@
             span, last = self.now - last, self.now
             rate = self.satisfied * SECOND / span
             self.rate = (self.rate + rate) / 2 if self.rate else rate
+            self.best = max(self.rate, FADING * self.best)
             self.satisfied = 0
             asked = sum(m.counts[1] for m in self.models) * SECOND / span
             self.asked = (self.asked + asked) / 2 if self.asked else asked
@@ -434,14 +435,15 @@
         return bool(runner.facts.since) and self.now - runner.facts.since < self.settings.cold
 
     def cold_gap(self, runner: Runner) -> int:
-        """Time between tasks to a cold runner: a safe part of this dispatcher's own part of what it stands.
+        """Time between tasks to a cold runner: this dispatcher's own part of what it stands.
 
         The satisfied tasks of all dispatchers, a runner, are no more than a warm runner can do; each
-        dispatcher counts its own only, so uneven traffic keeps the sum.
+        dispatcher counts its own only, so uneven traffic keeps the sum. The best that was seen counts: a
+        release lowers what is satisfied, and not what a runner can do.
         """
         s = self.settings
         share = s.cold_from + (1 - s.cold_from) * (self.now - runner.facts.since) / max(s.cold, 1)
-        rate = SAFE * s.fall_multiple * share * self.rate * runner.part
+        rate = s.fall_multiple * share * self.best * runner.part
         return int(SECOND / max(rate, 1e-3))
 
     def room(self, runner: Runner, spare: bool) -> bool:
@@ -470,9 +472,9 @@
         if holders:
             two = [holders[int(self.pick() * len(holders))] for _ in range(2)]
             return min(two, key=lambda c: self.busy(c.runner)).runner
-        if known:  # a load where the holders are full would push out what others need
-            return None
         for runner in self.shared_order(model):
+            if known and not self.cold(runner):
+                continue  # a load would push out what others need; one just started holds nothing yet
             if runner not in but and self.fit(task, runner):
                 return runner
         return None
--- a/martenlead/node/door.py
+++ b/martenlead/node/door.py
@@ -156,7 +156,7 @@
         self.dispatcher.later(self.dispatcher.over, held)
 
     def _spend(self, id: str) -> None:
-        """An id is new with every task: hundreds under one would each count as taken, and make room for orders."""
+        """An id is new with every task. Hundreds under one would count as taken, and make room for orders."""
         self.ids.pop(id, None)
         self.spent[id] = None
         if len(self.spent) > self.tasks:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -78,6 +78,37 @@
     check(play, "cold")
 
 
+def test_what_a_cold_runner_gets_is_of_the_best_rate_seen() -> None:
+    """In a release less is satisfied: of that, the new runners got next to nothing and stood idle."""
+    play = Play(runners="a", keep=4_000_000_000)
+    play.served(60)
+    play.served(6, every=1000)
+    play.list_one("a", since=9100)
+    sent = 0
+    for ms in range(9200, 13_200, 100):
+        play.to(ms)
+        before = len(play.hand_offs)
+        play.task(f"t{ms}", patience=200)
+        sent += len(play.hand_offs) - before
+    play.lines = [f"{sent} of 40"]
+    check(play, "cold_best")
+
+
+def test_a_task_whose_holders_are_full_may_go_to_a_runner_just_started() -> None:
+    """It holds nothing that a load would push out; at any other runner one would."""
+    play = Play(runners="abc", front_ends=2, orders=False)
+    play.served(60)
+    holder = next(iter(c.runner for c in play.models["m"].copies.values() if c.stands))
+    holder.width, holder.running = 1.0, 1
+    play.task("t1", patience=200)
+    new = "abc"[("abc".index(play.names[holder]) + 1) % 3]
+    play.list_one(new, since=2500)
+    for ms in range(3100, 4000, 100):
+        play.to(ms)
+        play.task(f"t{ms}", patience=200)
+    check(play, "new_runner")
+
+
 def test_a_cold_runner_is_not_sent_a_first_task_at_once_by_each_of_many() -> None:
     first = 0
     for seed in range(90):
