Test of ten edges waits for their mirrors: tasks before the state are in it, not counted

All ten edges were linked and planned for, no link broke, all fifty tasks were answered in time.

Cause: the lease begins with the planner's welcome, the state is sent by the edge's writer after its next sleep (flush_ms, 5 by default). Tasks taken in between are part of the state and never reach the mirror as events. At fault: tests/test_plan.py, which sent tasks as soon as the lease was there. The program is as designed.

--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -19,6 +19,7 @@
 from martenlead.events.server import listen
 from martenlead.planner import frames as fr
 from martenlead.planner.edgeside import EdgeSide
+from martenlead.planner.link import PlannerEnd
 from martenlead.planner.serve import Planner, PlannerSettings
 from tests.fleet import OFFERINGS, Fleet, fleet
 
@@ -87,17 +88,24 @@
         assert anyio.current_time() - begun < 0.5
 
 
+async def mirrored(one: Planner, name: str, side: EdgeSide) -> PlannerEnd:
+    """The lease comes before the state: what is taken in between is part of that, and no mirror counts it."""
+    await until(lambda: side.end.leased() and one.ends[name].mirror is not None)
+    return one.ends[name]
+
+
 async def test_a_planner_decides_dies_and_comes_back_and_tasks_are_answered() -> None:
     async with planner() as (first, port), planned([port], alone_ms=600_000) as (f, side):
-        await until(lambda: side.end.leased() and not side.plans)
+        own = await mirrored(first, "edge", side)
+        await until(lambda: not side.plans)
         for _ in range(30):
             await answered(f, 4)
             await anyio.sleep(0.05)
             if f.orders:
                 break
         assert f.orders
-        assert first.ends["edge"].mirror is not None
-        assert first.ends["edge"].mirror.tasks_seen >= 4
+        assert own.mirror is not None
+        assert own.mirror.tasks_seen >= 4
     async with planned([port], alone_ms=300) as (f, side):
         await until(lambda: side.counts["links lost"] > 1)
         await answered(f)
@@ -159,10 +167,9 @@
 
         async def edge(n: int) -> None:
             nonlocal done
-            async with planned([port], f"edge-{n}") as (f, side):
-                await until(side.end.leased)
+            async with planned([port], f"edge-{n}", flush_ms=20) as (f, side):
+                own = await mirrored(one, f"edge-{n}", side)
                 await answered(f, 5)
-                own = one.ends[f"edge-{n}"]
                 await until(lambda: own.mirror is not None and own.mirror.tasks_seen == 5)
                 done += 1
                 await until(lambda: done == 10)
