Settings are checked whole where both programs read them; odd events prove nothing

Probe (15 settings, each wrong in one place, handed to both programs): `balancers` as text, run served on with tracebacks; a cold time of 1e308, a traceback at the start; `balancers` 0, `attempts-cap` 0, `fall-multiple` null, no classes: run served on and said nothing; an aim of -1: the adapter never answered again (stopped after 20 s); an address that cannot be had: a traceback.

At fault: Profile in benchlink/settings.py took what it was given as it was; benchlink/wire.py indexed events; main in node/serve.py.

Change: the settings are types with bounds, read by msgspec in that one place; what is wrong is named with its path. The adapter says it as panic, in one line on standard error, and ends with 1; run ends with 2. A default stands for what is absent or null, unknown keys are passed over. An event's unknown word is "may have run", an unknown state of a runner means nothing new goes there, a task that cannot be read is scrapped at once.

Measured: the 15 cases end in one line each, both programs; tests/test_settings.py (33 tests, with the cases of the probe).

--- a/martenlead/node/config.py
+++ b/martenlead/node/config.py
@@ -4,11 +4,12 @@
 
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
+from msgspec import Meta
 
-from martenlead.benchlink.settings import Profile, ns
+from martenlead.benchlink.settings import BadSettings, Profile, ns
 from martenlead.edge.dispatcher import About
 from martenlead.node.journal import Known, Places
 from martenlead.runnerlink.roster import News
@@ -21,9 +22,9 @@
 
 
 class Limits(msgspec.Struct):
-    cores: float = 1.0
-    memory_mb: float = 192.0
-    sockets: int = 1024
+    cores: Annotated[float, Meta(gt=0)] = 1.0
+    memory_mb: Annotated[float, Meta(gt=0, le=1e9)] = 192.0
+    sockets: Annotated[int, Meta(gt=0)] = 1024
 
 
 class File(msgspec.Struct):
@@ -69,29 +70,28 @@
     """Raises BadConfig."""
     try:
         file = msgspec.json.decode(path.read_bytes(), type=File)
-        told = file.settings
-        profile = Profile(told)
-        allowed, family = told["allowed"], told.get("family-info", {})
-        places = Places(
-            list(told.get("azs", [])), list(told.get("skus", [])), profile.memory, profile.silent_weights
-        )
+        profile = Profile(file.settings)
+        allowed = profile.told.allowed
+        if len(profile.hard) < len(profile.offerings):
+            raise BadSettings("a class has no give-up")
+        places = Places(profile.told.azs or [], profile.kinds, profile.memory, profile.silent_weights)
         about = About(
             name=file.name,
             seed=int(file.seed, 16),
             settings=profile.settings,
             offerings=profile.offerings,
             customers=profile.customers,
-            hard={c["name"]: ns(c["give-up"]) for c in told["classes"]},
+            hard=profile.hard,
             margin=0,
             models=max(100, int(file.limits.memory_mb * MODELS_PER_MB)),
         )
         conn = Conn(
-            max(1, int(allowed.get("streams-per-conn") or 1)),
-            ns(allowed.get("connect-timeout") or 0.25),
-            ns(allowed.get("conn-idle") or 30.0),
-            ns(family.get("order-limit") or 10.0),
+            allowed.streams_per_conn or 1,
+            ns(allowed.connect_timeout or 0.25),
+            ns(allowed.conn_idle or 30.0),
+            ns(profile.order_limit or 10.0),
         )
         known = file.known.news(places)
         return Config(address(file.listen), address(file.journal), file.limits, known, about, places, conn)
-    except (OSError, msgspec.DecodeError, ValueError, KeyError, TypeError, AttributeError) as error:
+    except (OSError, ValueError, KeyError, TypeError, AttributeError, OverflowError, RecursionError) as error:
         raise BadConfig(f"{type(error).__name__}: {error}"[:300]) from None
--- a/martenlead/node/serve.py
+++ b/martenlead/node/serve.py
@@ -132,5 +132,10 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(2_000, 5, 5)
-    anyio.run(node.serve, backend_options={"use_uvloop": True})
-    return 0
+    status = 0
+    try:
+        anyio.run(node.serve, backend_options={"use_uvloop": True})
+    except* OSError as errors:
+        structlog.get_logger().error("it cannot listen", at=node.told.listen, why=str(errors.exceptions[0]))
+        status = 2
+    return status
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,136 @@
+"""Settings and events that are not what the pages say: refused in a line, or passed over, as no proof."""
+
+from __future__ import annotations
+
+import copy
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from martenlead.benchlink.settings import BadSettings, Profile
+from martenlead.benchlink.wire import Instance
+from martenlead.interface import State
+from martenlead.node import config
+from tests.nodes import SETTINGS
+
+GONE: Any = object()
+BAD: list[tuple[str, Any]] = [
+    ("balancers", 0),  # divided by
+    ("balancers", "three"),
+    ("balancers", GONE),
+    ("granularity", "2ms"),
+    ("granularity", -0.1),
+    ("allowed", 7),
+    ("allowed attempts-cap", 0),
+    ("allowed may-duplicate", "no"),
+    ("rules cold", 1e308),  # no whole number of ns
+    ("rules cold-from", 1.5),
+    ("rules fall-multiple", None),
+    ("family-info", []),
+    ("family-info if-cold", "perhaps"),
+    ("family-info kind-memory-mb", [1.0, 2.0]),  # of one kind
+    ("family-info kind-memory-mb", [0]),
+    ("classes", []),
+    ("classes 0 on-time", -1),  # a wait that never ends its loop
+    ("classes 0 effect", "odd"),
+    ("classes 1 group", "wing"),
+    ("orgs", {"acme": 1}),
+    ("orgs 0 quota-per-s", -1),
+    ("registry-mode", "telepathy"),
+    ("weights", "light"),
+]
+
+
+def settings(path: str, value: Any) -> dict[str, Any]:
+    told = copy.deepcopy(SETTINGS)
+    *way, last = (int(part) if part.isdigit() else part for part in path.split())
+    at: Any = told
+    for part in way:
+        at = at[part]
+    if value is GONE:
+        del at[last]
+    else:
+        at[last] = value
+    return told
+
+
+@pytest.mark.parametrize(("path", "value"), BAD)
+def test_settings_that_cannot_be_used_are_refused_where_they_are_wrong(path: str, value: Any) -> None:
+    with pytest.raises(BadSettings) as caught:
+        Profile(settings(path, value))
+    assert "\n" not in str(caught.value)
+    assert path.split()[-1] in str(caught.value) or "kinds of machine" in str(caught.value)
+
+
+def test_what_has_a_default_may_be_absent_or_null_and_unknown_keys_are_passed_over() -> None:
+    told = {k: SETTINGS[k] for k in ("balancers", "granularity", "classes", "rules")}
+    told |= {"allowed": {"attempts-cap": 2, "later": [1]}, "later": {"a": 1}}
+    bare = Profile(told)
+    nulls = dict.fromkeys(("family-info", "orgs", "azs", "skus", "weights", "prices", "registry-mode"))
+    assert Profile(told | nulls | {"over-share-worth": None}).settings.__repr__() == repr(bare.settings)
+    s = bare.settings
+    assert (s.twice_out, s.orders, s.loads_on_miss, s.keep, s.over_share) == (False, False, True, 0, 1.0)
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {"settings": settings("balancers", 0)},
+        {"settings": settings("classes 0 give-up", GONE)},
+        {"settings": {}},
+        {"limits": {"memory_mb": 0}},
+        {"limits": {"sockets": "many"}},
+        {"listen": "127.0.0.1:99999"},
+        {"listen": "192.0.2.1:9"},  # of no machine
+    ],
+)
+def test_a_node_says_in_one_line_why_it_does_not_start(wrong: dict[str, Any], tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    told = {"name": "n", "listen": "127.0.0.1:0", "journal": "127.0.0.1:9", "settings": SETTINGS}
+    known = {"known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"complete": True, "members": []}}]}}
+    path.write_text(json.dumps(told | known | wrong))
+    command, env = [sys.executable, "-m", "martenlead.node"], {**os.environ, "ROUTER_CONFIG": str(path)}
+    ended = subprocess.run(command, env=env, capture_output=True, text=True, check=False, timeout=30)
+    said = ended.stderr.splitlines()
+    assert (ended.returncode, sum('"level": "error"' in line for line in said)) == (2, 1)
+    assert all(json.loads(line) for line in said)  # no traceback among them
+
+
+def test_a_file_too_deep_to_be_read_is_no_configuration(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text('{"settings":' + "[" * 100_000)
+    with pytest.raises(config.BadConfig):
+        config.read(path)
+
+
+def test_events_with_odd_fields_prove_nothing_and_lose_no_task() -> None:
+    out: list[dict[str, Any]] = []
+    one = Instance(0, {"profile-data": SETTINGS, "seed": 1}, 0, out)
+
+    def hear(msg: str, **event: Any) -> list[dict[str, Any]]:
+        out.clear()
+        one.hear({"msg": msg, **event}, 10**9)
+        one.settle(10**9)
+        return [a for a in out if a["msg"] != "remind"]
+
+    lines = [{"runner": "a:1", "heft": "big", "campus": 3, "cluster": []}, {"runner": "b:1", "status": "Z"}]
+    hear("update", form="C", items=[*lines, {"campus": "x"}, 7])
+    assert {n: r.facts.state for n, r in one.runners.items()} == {"a:1": State.UP, "b:1": State.DRAINING}
+    task = {"fn": "0a", "band": "unsafe", "give-up-at": 3.0, "per-copy": "two", "ram-mb": None, "cost": -1}
+    bad = [{"band": "none"}, {"fn": "no number"}, {"fn": 5}, {"give-up-at": "soon"}, {"give-up-at": None}]
+    for n, wrong in enumerate(bad):
+        assert hear("request", **task | wrong, ref=str(n)) == [
+            {"msg": "finish-error", "dispatcher": 0, "ref": str(n)}
+        ]
+    (sent,) = hear("request", **task, ref="t")
+    assert (sent["msg"], sent["runner"]) == ("issue", "a:1")
+    assert hear("closed-attempt", ref=["t"], hop=0, reason="turned_away") == []  # of no task
+    # a word that is not known does not prove that it never ran: an unrepeatable task is not sent again
+    (ended,) = hear("closed-attempt", ref="t", reason=["turned_away"], lag="late", note="warm")
+    assert ended["msg"] == "finish-error"
+    assert hear("closed-attempt", ref="t", reason="served") == []
