What one read holds was open to its client: beyond 32 tasks it is turned back uncounted

Hundreds of tasks within one read, each turned back at once, never stood open beside one another, so that all were counted as taken and made room for orders, as those under one id did.

At fault: node/door.py, `_take`, which compared the tasks open at that moment with the 32 of the protocol.

Change: answers given since the read began count beside what is open. A client that keeps to the 32 never meets it: none of those answers can have reached it when it wrote. Over several reads there is no such proof, and the roadmap says so. The test of used ids counted nothing, as it stated no ration: it states one now.

--- a/martenlead/node/door.py
+++ b/martenlead/node/door.py
@@ -32,6 +32,7 @@
         self.transport: Any = None
         self.frames = rpc.Frames()
         self.open: dict[int, Held] = {}
+        self.answered = 0  # tasks, since the read at hand began: to whoever wrote it they were open, too
         self.last = 0  # number
         self.errors = 0
         self.spoke = False  # a message that was taken
@@ -48,6 +49,7 @@
 
     def data_received(self, data: bytes) -> None:
         now = self.door.dispatcher.clock()
+        self.answered = 0
         bad: rpc.BadFrame | None = None
         try:
             messages = self.frames.feed(data)
@@ -206,7 +208,7 @@
             raise BadCall(rpc.PARAMS, "id: of a request that was answered", number)
         size = len(call.blob)
         if (
-            len(client.open) >= OPEN
+            len(client.open) + client.answered >= OPEN
             or len(dispatcher.held) >= self.tasks
             or dispatcher.bytes + size > self.held_bytes
         ):
@@ -218,6 +220,7 @@
 
         def done(held: Held) -> None:
             client.open.pop(number, None)
+            client.answered += 1
             self._spend(call.id)
             client.write(answer(number, held))
             held.content = held.answer = (
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -192,11 +192,14 @@
 
     async def ask(self, method: str = "safe", **more: Any) -> int:
         """Sends a task that keeps the form, but for what is given; its number."""
+        await self.send(self.task(method, **more))
+        return self.number
+
+    def task(self, method: str = "safe", **more: Any) -> bytes:
         self.number += 1
         params = {"id": f"{self.number:016x}", "wait": 1500, "tenant": "acme", "key": "0" * 15 + "1"}
         params = {k: v for k, v in {**params, "blob": "Ym9keQ==", **more}.items() if v is not None}
-        await self.send(message({"jsonrpc": "2.0", "id": self.number, "method": method, "params": params}))
-        return self.number
+        return message({"jsonrpc": "2.0", "id": self.number, "method": method, "params": params})
 
     async def answer(self, within: float = 5) -> dict[str, Any] | None:
         """The next one; None where the connection has ended."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,9 +11,11 @@
 import pytest
 
 from tests.fleet import until
-from tests.nodes import after, answer, done, linger, message, play, raw, record, says, silent, word
+from tests.nodes import SETTINGS, after, answer, done, linger, message, play, raw, record, says, silent, word
 
 pytestmark = pytest.mark.anyio
+RATION = {"load-period": 10.0, "loads-anyway": 2, "loads-per-request": 0.3}  # without, no tasks are counted
+RATIONED = SETTINGS | {"family-info": SETTINGS["family-info"] | RATION}
 
 
 async def test_a_ping_and_a_task_from_end_to_end(tmp_path: Path) -> None:
@@ -223,7 +225,7 @@
 
 async def test_an_id_that_was_answered_is_not_taken_again(tmp_path: Path) -> None:
     """Of hundreds under one id each was turned back at once, and the next taken: orders beyond the ration."""
-    async with play(tmp_path, {"a": [says("WAIT", "")]}) as p:
+    async with play(tmp_path, {"a": [says("WAIT", "")]}, settings=RATIONED) as p:
         client = await p.client()
         told = [await client.call(id="00000000000000aa") for _ in range(18)]
         assert told == ["turned back", *["error -32602"] * 17]
@@ -247,6 +249,24 @@
         assert p.node.dispatcher.bytes == 0
 
 
+async def test_hundreds_in_one_read_are_not_taken_because_each_is_answered_at_once(tmp_path: Path) -> None:
+    """What was taken is what orders are rationed by."""
+    nobody = {"pos": 1, "entries": [{"pos": 1, "hosts": {"complete": True, "members": []}}]}
+    async with play(tmp_path, known=nobody, settings=RATIONED) as p:
+        client = await p.client()
+        await until(lambda: p.node.door.clients)
+        (own,) = p.node.door.clients
+        own.data_received(b"".join(client.task() for _ in range(200)))
+        told = [await client.answer() or {} for _ in range(200)]
+        assert [t["error"]["message"] for t in told[31:]] == [
+            "no runner may take it now",
+            *["too much is open"] * 168,
+        ]
+        assert len(p.node.dispatcher.border._brain.taken) == 32
+        assert await client.call() == "turned back"  # the next read: its answers had come
+        assert len(p.node.dispatcher.border._brain.taken) == 33
+
+
 async def test_silent_connections_end_and_cost_no_one_a_place(tmp_path: Path) -> None:
     async with play(tmp_path) as p:
         mute = [await p.client() for _ in range(130)]
