The node binds its own address: four threads that looked it up stayed for life

Seen: a running node had five threads, four of them idle workers of the event loop (/proc, wchan futex). Cause: `create_server` with a host has it resolved on a pool, though it is told as a number; connections out do not.

Change: node/serve.py makes the socket and hands it over. The test counts the threads of a serving node: 5 without the change, 1 with it.

--- a/martenlead/node/serve.py
+++ b/martenlead/node/serve.py
@@ -7,6 +7,7 @@
 import logging
 import os
 import signal
+import socket
 import sys
 import time
 from collections.abc import Callable
@@ -58,7 +59,9 @@
                 group.start_soon(self.door.run)
                 await self.dispatcher.listed.wait()
                 host, port = self.told.listen
-                server = await loop.create_server(lambda: Client(self.door), host, port, backlog=512)
+                # bound here: the loop would look up its own address on four threads, which then stay
+                listener = socket.create_server((host, port), backlog=512)
+                server = await loop.create_server(lambda: Client(self.door), sock=listener)
                 self.log.info("serves", host=host, port=port)
                 if started is not None:
                     started()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -59,6 +59,16 @@
     return told
 
 
+def node(tmp_path: Path, **more: Any) -> subprocess.Popen[str]:
+    """One that no runner is known to, on a port of its own."""
+    path = tmp_path / "config.json"
+    told = {"name": "n", "listen": "127.0.0.1:0", "journal": "127.0.0.1:9", "settings": SETTINGS}
+    known = {"known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"complete": True, "members": []}}]}}
+    path.write_text(json.dumps(told | known | more))
+    command, env = [sys.executable, "-m", "martenlead.node"], {**os.environ, "ROUTER_CONFIG": str(path)}
+    return subprocess.Popen(command, env=env, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+
+
 @pytest.mark.parametrize(("path", "value"), BAD)
 def test_settings_that_cannot_be_used_are_refused_where_they_are_wrong(path: str, value: Any) -> None:
     with pytest.raises(BadSettings) as caught:
@@ -90,13 +100,8 @@
     ],
 )
 def test_a_node_says_in_one_line_why_it_does_not_start(wrong: dict[str, Any], tmp_path: Path) -> None:
-    path = tmp_path / "config.json"
-    told = {"name": "n", "listen": "127.0.0.1:0", "journal": "127.0.0.1:9", "settings": SETTINGS}
-    known = {"known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"complete": True, "members": []}}]}}
-    path.write_text(json.dumps(told | known | wrong))
-    command, env = [sys.executable, "-m", "martenlead.node"], {**os.environ, "ROUTER_CONFIG": str(path)}
-    ended = subprocess.run(command, env=env, capture_output=True, text=True, check=False, timeout=30)
-    said = ended.stderr.splitlines()
+    with node(tmp_path, **wrong) as ended:
+        said = ended.communicate(timeout=30)[1].splitlines()
     assert (ended.returncode, sum('"level": "error"' in line for line in said)) == (2, 1)
     assert all(json.loads(line) for line in said)  # no traceback among them
 
@@ -134,3 +139,12 @@
     (ended,) = hear("closed-attempt", ref="t", reason=["turned_away"], lag="late", note="warm")
     assert ended["msg"] == "finish-error"
     assert hear("closed-attempt", ref="t", reason="served") == []
+
+
+def test_a_node_looks_nothing_up_on_threads_of_its_own(tmp_path: Path) -> None:
+    """Four threads of the event loop resolved the address that was told as a number, and stayed."""
+    with node(tmp_path) as served:
+        assert served.stderr is not None
+        assert any('"event": "serves"' in line for line in served.stderr)
+        assert len(list(Path(f"/proc/{served.pid}/task").iterdir())) == 1
+        served.kill()
