Orders count until they may have arrived; what is out for a client that left may end

Cause: the ration was counted by when an order was given (brain.may_order); the operators count it as it arrives. An order to a runner that is cut off, or over a connection that comes up late, counts in a later window than the one it was given in, so that two given six seconds apart could arrive together. Change: an order that has not ended counts as long as it may arrive; once it has, from when it had arrived at the latest. Tasks count only if they still do when an order that waits for its connection arrives (settings.reach).

--- a/martenlead/benchlink/settings.py
+++ b/martenlead/benchlink/settings.py
@@ -141,6 +141,7 @@
             loads_on_miss=(family.if_cold or "load") == "load",
             turn_back_wait=ns(allowed.max_retry_after or 0) if allowed.retry_after else 0,
             keep=ns(family.linger_idle or 0),
+            reach=ns(allowed.connect_timeout or 0),
             ration_window=ns(family.load_period or 0),
             ration_free=family.loads_anyway or 0,
             ration_share=family.loads_per_request or 0,
--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import math
+from bisect import insort
 from collections import deque
 from collections.abc import Iterable
 from random import Random
@@ -144,7 +145,8 @@
         self.models: dict[Model, None] = {}
         self.latency = Histogram()
         self.taken: deque[int] = deque()
-        self.orders: deque[int] = deque()
+        self.orders: deque[int] = deque()  # when each was given, once it has ended by when it had arrived
+        self.going: dict[io.Order, int] = {}  # not ended, since when: they may arrive at any time
         self.rate = self.best = self.asked = 0.0  # a second: satisfied, the best of it, first tried
         self.peers: float = settings.front_ends  # how many like this one carry all tasks
         self.satisfied = self.running = 0
@@ -376,24 +378,35 @@
 
     def order(self, copy: Copy) -> io.Order:
         order = io.Order(copy.runner, copy.model, 1)
-        copy.ordered = copy.touched = self.now
+        copy.ordered = copy.touched = self.going[order] = self.now
         self.orders.append(self.now)
         return order
 
     def may_order(self, runner: Runner, part: float = 1.0) -> bool:
-        """The ration, counted with a tick to spare on both sides, and the drain rule for orders."""
+        """The ration, counted with a tick to spare on both sides, and the drain rule for orders. It counts an
+        order as it arrives, against the tasks before that, and a new connection may take its time."""
         s = self.settings
         if not self.may_go(runner):
             return False
         if not s.ration_window:
             return True
-        while self.orders and self.orders[0] < self.now - s.ration_window - 2 * s.tick:
+        since = self.now - s.ration_window
+        while self.orders and self.orders[0] < since - 2 * s.tick:
             self.orders.popleft()
-        while self.taken and self.taken[0] < self.now - s.ration_window + 2 * s.tick:
+        while self.going and next(iter(self.going.values())) < since - s.ration_window:
+            del self.going[next(iter(self.going))]  # its end was never told
+        while self.taken and self.taken[0] < since + s.reach + 2 * s.tick:
             self.taken.popleft()
-        return len(self.orders) + 1 <= part * (s.ration_free + s.ration_share * len(self.taken))
+        given = len(self.orders) + sum(at < since - 2 * s.tick for at in self.going.values())
+        return given + 1 <= part * (s.ration_free + s.ration_share * len(self.taken))
 
     def ordered(self, order: io.Order, result: io.Result, copies: int) -> None:
+        given = self.going.pop(order, None)
+        if given is not None:  # what was answered had arrived soon; what was not may have until now
+            answered = result in (io.Result.SATISFIED, io.Result.FULL, io.Result.ERROR)
+            if given in self.orders:
+                self.orders.remove(given)
+            insort(self.orders, min(self.now, given + self.settings.reach) if answered else self.now)
         copy = self.copy(order.model, order.runner)
         copy.ordered = 0
         new = not copy.stands
@@ -574,8 +587,11 @@
         wait = min(s.turn_back_wait, task.offering.soft_limit // 2)
         yield io.TurnBack(task, wait) if self.may_turn_back(task) else io.Scrap(task)
 
-    def closed(self, task: io.Task) -> list[io.Action]:
-        """A task that is over leaves nothing waiting: work for clients that left is waste."""
+    def closed(self, task: io.Task, left: bool) -> list[io.Action]:
+        """A task that is over leaves nothing waiting. Where its client `left` with its one hand-off out, that
+        may end: a runner goes on with most of what is called off, and would be taken for free meanwhile."""
+        if left:
+            return []
         return [io.CallOff(h) for h in task.hand_offs if h.result is None and self.settings.call_off]
 
     def count(self, task: io.Task) -> io.Steps:
--- a/martenlead/config/edge.py
+++ b/martenlead/config/edge.py
@@ -230,6 +230,7 @@
             loads_on_miss=models.loads_on_miss,
             turn_back_wait=ns(allowed.turn_back_wait_ms),
             keep=ns(models.keep_ms),
+            reach=ns(edge.limits.connect_ms),
             ration_window=ns(ration.window_ms) if ration else 0,
             ration_free=ration.free if ration else 0,
             ration_share=ration.share if ration else 0,
--- a/martenlead/engine.py
+++ b/martenlead/engine.py
@@ -78,10 +78,11 @@
             copy.held, copy.touched = True, max(copy.touched, touched)
 
     def closed(self, task: Task) -> None:
-        if task.process.alive:
+        left = task.process.alive  # before the module was done with it
+        if left:
             task.process.alive = False
             task.process.steps.close()
-        for action in self.brain.closed(task):
+        for action in self.brain.closed(task, left):
             self.outlet(action)
 
     def due(self) -> int | None:
--- a/martenlead/interface.py
+++ b/martenlead/interface.py
@@ -101,6 +101,7 @@
     asks_roster: bool
     roster_every: int
     offerings: list[Offering] = field(default_factory=list)
+    reach: int = 0  # until a connection to a runner is up, or given up
 
 
 @dataclass(slots=True)
--- a/tests/play.py
+++ b/tests/play.py
@@ -25,6 +25,7 @@
     loads_on_miss=True,
     turn_back_wait=500 * MS,
     keep=8000 * MS,
+    reach=0,
     ration_window=0,
     ration_free=0,
     ration_share=0,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,7 +7,7 @@
 import pytest
 
 from martenlead import interface as io
-from tests.play import ONCE, POST, Play, check
+from tests.play import MS, ONCE, POST, Play, check
 
 
 def test_one_answer_in_time_and_at_once() -> None:
@@ -123,7 +123,7 @@
 
 
 def test_the_ration_of_load_orders() -> None:
-    play = Play(ration_window=10_000_000_000, ration_free=2, ration_share=0.0)
+    play = Play(ration_window=10_000 * MS, ration_free=2, ration_share=0.0)
     for n in range(4):
         play.task(f"t{n}", "mnop"[n])
         play.stands()
@@ -132,6 +132,37 @@
     check(play, "ration")
 
 
+def test_an_order_counts_until_a_window_after_it_may_have_arrived() -> None:
+    """Given to a runner that is cut off it came six seconds late: with the next two, three in a window."""
+    play = Play(ration_window=10_000 * MS, ration_free=2, ration_share=0.0)
+    runner, models = play.runners["a"], [play.brain.model(io.ModelFacts(n, 2, 3000.0)) for n in range(2)]
+    first, second = (play.brain.order(play.brain.copy(model, runner)) for model in models)
+    play.to(6000)
+    play.brain.ordered(first, io.Result.SATISFIED, 1)  # was answered: it had come up soon
+    play.brain.ordered(second, io.Result.SILENT, 0)  # was not: it may have arrived only now
+    play.to(10_100)
+    assert [play.brain.may_order(runner) for _ in range(2)] == [True, True]
+    play.brain.order(play.brain.copy(models[0], runner))
+    assert not play.brain.may_order(runner)
+    play.to(16_100)
+    assert play.brain.may_order(runner)
+    play.to(20_300)  # one whose end is never told counts for two windows, not for good
+    assert (play.brain.may_order(runner), len(play.brain.going)) == (True, 1)
+    play.to(30_300)
+    assert (play.brain.may_order(runner), len(play.brain.going)) == (True, 0)
+
+
+def test_an_order_may_arrive_as_late_as_a_connection_comes_up() -> None:
+    """It is counted against the tasks before it arrives: some before it was given may be too old by then."""
+    play = Play(ration_window=10_000 * MS, ration_free=0, ration_share=0.5, reach=1000 * MS, orders=False)
+    for n in range(2):
+        play.task(f"t{n}")
+    play.to(8900)
+    assert play.brain.may_order(play.runners["a"])
+    play.to(9100)
+    assert not play.brain.may_order(play.runners["a"])
+
+
 def test_left_by_the_client() -> None:
     play = Play()
     task = play.task("t")
