What waits for a runner's connection is asked once more before it leaves; waits set one timer

Cause, by reading and by tests on real connections against the old code: a line queued until its connection was up left although its task was over, its runner drained or gone, or its connection given up in that very turn (Conn.connection_made wrote the queue unasked, Conn.end kept it): told as never sent, and sent. A second answer came in for the next hand-off of the same txn over the same connection. A runner's end was acted on a turn late (eof_received), and one that does not read got ever more. One event that told a process gone and back left the new one without a way. Timers: anyio sets a deadline's timer anew until the loop's time has passed it, and uvloop counts both in whole ms. Change: each is closed where it is; within() sets one timer, in whole ms.

--- a/martenlead/edge/dispatcher.py
+++ b/martenlead/edge/dispatcher.py
@@ -22,6 +22,7 @@
 import structlog
 
 from martenlead.edge.border import Border, Tape
+from martenlead.edge.waits import within
 from martenlead.interface import (
     Action,
     Answer,
@@ -118,6 +119,11 @@
         self.out = 0  # hand-offs and orders whose end has not come
         self.gone = False
 
+    @property
+    def up(self) -> bool:
+        """Neither drained nor gone, as far as it was told: what has waited to be sent there may leave."""
+        return not self.gone and self.runner.facts.state is State.UP
+
     def facts(self, state: State, since: int, weight: float) -> RunnerFacts:
         line = self.line
         mark = int.from_bytes(line.id.encode(), "big")
@@ -261,7 +267,7 @@
             self._until = due if due is not None else 1 << 62
             left = (self._until - self.clock()) / 1e9
             if left > 0:
-                with anyio.move_on_after(min(left, 3600)):
+                with within(min(left, 3600)):
                     await self._sooner.wait()
             if self._sooner.is_set():
                 self._sooner = anyio.Event()
@@ -382,6 +388,7 @@
                 box.since = 0 if age is None else max(1, now - round(age * 1e6))
             if line.state == "gone":
                 gone.append(box)
+                box.gone = True  # at once: the same news may tell of the next process under that id
             else:
                 box.line = line
             state = STATES[line.state]
@@ -395,8 +402,8 @@
             self.log.info("roster", runner=line.id, state=state.value, version=self.list.version)
         self._decide(self.border.roster, news, whole)
         for box in gone:
-            self.link.leave(box.way)
             box.gone = True
+            self.link.leave(box.way)
             self._sweep(box)
         if whole:
             self.listed.set()
--- a/martenlead/node/roster.py
+++ b/martenlead/node/roster.py
@@ -6,6 +6,7 @@
 import structlog
 
 from martenlead.edge.dispatcher import Dispatcher
+from martenlead.edge.waits import within
 from martenlead.node.journal import NUMBER, BadFrame, Frames, Places, age
 from martenlead.runnerlink.roster import Gap, List, News
 
@@ -20,6 +21,7 @@
         self.list = List()
         self.log = structlog.get_logger().bind(edge=name)
         self._scope: anyio.CancelScope | None = None
+        self._gap: tuple[int, int] | None = None  # the last one met: behind which event, and up to which
 
     def move(self, at: tuple[str, int]) -> None:
         """From now on the journal service is there; the numbers go on."""
@@ -52,17 +54,23 @@
         """One connection, to its end; why it ended."""
         frames = Frames(self.places)
         try:
-            with anyio.fail_after(CONNECT):
+            with within(CONNECT):
+                stream = None
                 stream = await anyio.connect_tcp(*self.at)
+            if stream is None:
+                return "it is silent"
             async with stream:
                 await stream.send(NUMBER.pack(self.list.version))
                 while True:
-                    with anyio.fail_after(QUIET):
-                        data = await stream.receive()
-                    for news in frames.feed(data):
+                    # a whole one: one that has begun and goes on byte by byte tells nothing either
+                    told: list[News] = []
+                    with within(QUIET):
+                        while not told:
+                            told = frames.feed(await stream.receive())
+                    if not told:
+                        return "it is silent"
+                    for news in told:
                         self._tell(dispatcher, news)
-        except TimeoutError:
-            return "it is silent"
         except (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
             return "the connection ended"
         except (BadFrame, Gap) as error:
@@ -74,5 +82,12 @@
     def _tell(self, dispatcher: Dispatcher, news: News) -> None:
         if news.runners is None or news.version <= self.list.version:
             return  # nothing new, or written twice
+        if not news.whole and news.version > self.list.version + 1:
+            gap = self.list.version, news.version
+            if gap != self._gap:
+                self._gap = gap
+                raise Gap(f"at {gap[0]}, told of {gap[1]}")
+            # asked again it has nothing between: better what changed since than none of it, for good
+            self.list.version = news.version - 1
         if self.list.told(age(news, dispatcher.clock())):
             dispatcher.news(news.runners, news.whole)
--- a/martenlead/node/rpc.py
+++ b/martenlead/node/rpc.py
@@ -7,7 +7,7 @@
 import re
 from binascii import Error as BadBase64
 from binascii import a2b_base64
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
@@ -128,6 +128,8 @@
     lanes: int
     memory_mb: float
     blob: str
+    met: list[Any] = field(default_factory=list)  # the link's: connections that it was on
+    about: int | str | None = None  # of what takes a task back: the task's number, or its id
 
 
 _decode = msgspec.json.Decoder(_Message).decode
@@ -144,7 +146,10 @@
     if told.jsonrpc != "2.0" or (number is not None and not 0 < number < 1 << 53):
         raise BadCall(INVALID, "not JSON-RPC 2.0")
     if told.method in CONTROL:
-        return Call(number, told.method, str(params.id), 0, None, False, None, "", 0.0, 1, 0.0, "")
+        about: int | str | None = params.id if params.id != "" else number
+        if isinstance(about, str) and about.isdecimal() and not _HEX16(about):
+            about = int(about[:16])
+        return Call(number, told.method, "", 0, None, False, None, "", 0.0, 1, 0.0, "", about=about)
     if number is None:
         raise BadCall(INVALID, "a task without a number")
     if not isinstance(params.id, str) or not _HEX16(params.id):
--- a/martenlead/node/runners.py
+++ b/martenlead/node/runners.py
@@ -5,7 +5,8 @@
 only a connection that is being made.
 
 What is proven: as long as the connection has not come up, nothing ran. Once a line was written it may have
-run, whatever follows, until the runner's own word says otherwise.
+run, whatever follows, until the runner's own word says otherwise. What waited for its connection is asked
+once more whether it may still leave: by then its task may be over, or its runner told as draining or gone.
 """
 
 from __future__ import annotations
@@ -19,7 +20,8 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from martenlead.edge.dispatcher import Box, Dispatcher, Known, Out
+from martenlead.edge.dispatcher import Box, Dispatcher, Held, Known, Out
+from martenlead.edge.waits import within
 from martenlead.interface import Result, Warmth
 from martenlead.node import lines
 from martenlead.node.config import Conn as Told
@@ -35,13 +37,31 @@
 class Sent:
     """What is open on a connection: a hand-off, or an order."""
 
-    __slots__ = ("conn", "due", "overdue", "told", "txn", "written")
-
-    def __init__(self, txn: str, due: int, overdue: int, told: Callable[[Heard], None]) -> None:
+    __slots__ = ("box", "conn", "due", "held", "line", "overdue", "told", "txn", "written")
+
+    def __init__(
+        self,
+        txn: str,
+        box: Box,
+        held: Held | None,
+        due: int,
+        overdue: int,
+        line: bytes,
+        told: Callable[[Heard], None],
+    ) -> None:
+        """`held` is the task, None of an order."""
         self.txn, self.due, self.overdue, self.told = txn, due, overdue, told
+        self.box, self.held = box, held
+        self.line = line  # until it is written
         self.conn: Conn | None = None
         self.written = 0  # when
 
+    def late(self) -> str:
+        """Why it may not leave any more, or nothing."""
+        if self.held is not None and self.held.final is not None:
+            return "its task is over"
+        return "" if self.box.up else "the runner drains or is gone"
+
 
 class Conn(asyncio.Protocol):
     """One connection, from the wish for it on."""
@@ -52,7 +72,7 @@
         self.poll: select.poll | None = None
         self.open: dict[str, Sent] = {}
         self.stale: set[str] = set()  # given up: their answers may still come
-        self.queue: list[bytes] = []  # until it is up
+        self.full = False  # what was written has yet to leave: the runner does not read
         self.lines = lines.Lines()
         self.heard = self.since = link.clock()  # since: without anything open
         self.retired = False  # takes nothing new, ends once nothing is open on it
@@ -61,13 +81,18 @@
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
-        now = self.heard = self.link.clock()
+        if self not in self.way.conns:
+            transport.abort()  # given up in the turn that it came up in: all that waited was told as unsent
+            return
+        now = self.heard = self.since = self.link.clock()
+        late = [(sent, why) for sent in self.open.values() if (why := sent.late())]
+        for sent, _ in late:
+            del self.open[sent.txn]
         for sent in self.open.values():
-            sent.written = now
-        transport.writelines(self.queue)
-        self.queue.clear()
-        if self.retired and not self.open:
-            self.end()
+            self._write(sent, now)
+        self._free(bool(self.open))
+        for sent, why in late:  # last: what they are told may bring the next hand-off, over this connection
+            sent.told(Heard(Result.NOT_SENT, why=why))
 
     def data_received(self, data: bytes) -> None:
         self.heard = self.link.clock()
@@ -87,30 +112,36 @@
             self.end("what came cannot be read")
 
     def eof_received(self) -> None:
-        return None  # the transport closes
+        self.end("the connection ended")  # now: what is written until its loss is told would be lost
 
     def connection_lost(self, _error: Exception | None) -> None:
         self.end("the connection ended")
 
+    def pause_writing(self) -> None:
+        self.full = True
+
+    def resume_writing(self) -> None:
+        self.full = False
+
     # -- ours
 
-    def send(self, sent: Sent, line: bytes) -> None:
+    def send(self, sent: Sent) -> None:
         sent.conn = self
         self.open[sent.txn] = sent
-        if self.transport is None:
-            self.queue.append(line)
-        else:
-            sent.written = self.link.clock()
-            self.transport.write(line)
+        if self.transport is not None:
+            self._write(sent, self.link.clock())
+
+    def _write(self, sent: Sent, now: int) -> None:
+        sent.written = now
+        self.transport.write(sent.line)
+        sent.line = b""
 
     def take_back(self, sent: Sent) -> bool:
         """Gives it up; whether it may have run. A connection that has said nothing since it was written gets
         nothing new: the machine behind it may have vanished without a word."""
         self.open.pop(sent.txn, None)
         if self.transport is None:
-            at = list(self.open)  # the queue stands in the order of what is open
-            self.queue = [line for line in self.queue if not self._is(line, sent.txn)]
-            self._free(bool(at))
+            self._free(bool(self.open))
             return False
         self.transport.write(lines.undo(sent.txn))
         self.stale.add(sent.txn)
@@ -119,10 +150,6 @@
         self._free(bool(self.open))
         return True
 
-    @staticmethod
-    def _is(line: bytes, txn: str) -> bool:
-        return b'"txn":"%b"' % txn.encode() in line[:64]
-
     def _free(self, busy: bool) -> None:
         if busy:
             return
@@ -222,7 +249,9 @@
         way.left = True
         for conn in list(way.conns):
             conn.retired = True
-            if not conn.open and conn.transport is not None:
+            if conn.transport is None:
+                conn.end("its runner is gone")  # it never came up: nothing was sent
+            elif not conn.open:
                 conn.end()
         if not way.conns:
             self.ways.discard(way)
@@ -238,10 +267,14 @@
             self.dispatcher.ended(out, Heard(Result.NOT_SENT, why="the time was over before it was sent"))
             return
         overdue = now + self.soft.get(call.method, 0)
-        sent = out.at = Sent(call.id, now + left, overdue, lambda heard: self.dispatcher.ended(out, heard))
         ttl = max(1, left // 1_000_000)
         line = lines.do(call.id, call.method, call.key, ttl, call.once, call.blob)
-        self._send(out.box.way, sent, line)
+
+        def told(heard: Heard) -> None:
+            self.dispatcher.ended(out, heard)
+
+        sent = out.at = Sent(call.id, out.box, out.held, now + left, overdue, line, told)
+        self._send(sent, call.met)
 
     def call_off(self, out: Out) -> None:
         sent: Sent | None = out.at
@@ -255,26 +288,29 @@
     def order(self, box: Box, known: Known, copies: int, told: Callable[[Heard], None]) -> None:
         self._count += 1
         now = self.clock()
-        sent = Sent(f"o{self._count}", now + self.told.order, now + self.told.order, told)
-        self._send(box.way, sent, lines.pin(sent.txn, known.name, copies))
+        txn, due = f"o{self._count}", now + self.told.order
+        self._send(Sent(txn, box, None, due, due, lines.pin(txn, known.name, copies), told), [])
 
-    def _send(self, way: Way, sent: Sent, line: bytes) -> None:
-        conn = self._pick(way, sent.txn)
+    def _send(self, sent: Sent, met: list[Any]) -> None:
+        """`met` are the connections that the task was on before: a second answer that comes late there would
+        be taken for the new hand-off's, since both have one txn."""
+        conn = self._pick(sent.box.way, met)
         if conn is None:
             sent.told(Heard(Result.NOT_SENT, why="all connections are busy"))
             return
-        conn.send(sent, line)
+        met.append(conn)
+        conn.send(sent)
         self._count += 1
         heappush(self._heap, (sent.due, self._count, sent))
         self._arm()
 
-    def _pick(self, way: Way, txn: str) -> Conn | None:
+    def _pick(self, way: Way, met: list[Any]) -> Conn | None:
         """One that stands idle, the last used first; else a new one while there may be; else the one with
-        the least open. Never one that has met this task already: its two answers would be the same."""
+        the least open. Never one that has met this task already, nor one whose runner does not read."""
         now = self.clock()
         idle, busy = None, None
         for conn in list(way.conns):
-            if conn.retired or txn in conn.open or txn in conn.stale:
+            if conn.retired or conn.full or conn in met:
                 continue
             if not conn.open and conn.transport is not None:
                 if now - conn.since > self.told.idle // 2 or conn.dead():
@@ -302,9 +338,11 @@
         way.opened += 1
         loop = asyncio.get_running_loop()
         try:
-            with anyio.fail_after(self.told.connect / 1e9):
+            with within(self.told.connect / 1e9) as scope:
                 await loop.create_connection(lambda: conn, way.host, way.port)
-        except (OSError, TimeoutError):
+            if scope.cancelled_caught:
+                conn.end("no connection in time")
+        except OSError:
             conn.end("no connection")
 
     # -- time-outs
