Aborts are obeyed, by the number of the task; a client that has left is noticed at once

Cause: params.id of an abort is the number of a task and was read as its hex id (Door._abort), so that tasks whose client had left were handed on for as long as they had time. A client that does not read was not read either (pause_reading), so that neither its abort nor its end was seen; after a half close its tasks lived until all that was written had left. Change: obeyed by number or id; what is taken back in the read that it came in is never taken; a task that was taken back counts as open for its soft limit, and an answered one until its answer can have arrived, so that hundreds spread over several reads buy no more than 32. A client that does not read goes on being read, and is turned back.

--- a/martenlead/node/door.py
+++ b/martenlead/node/door.py
@@ -13,11 +13,13 @@
 from martenlead.edge.dispatcher import Dispatcher, Final, Held, Wanted
 from martenlead.node import rpc
 from martenlead.node.rpc import BadCall, Call
+from martenlead.node.sockets import readable
 
 OPEN = 32  # tasks of one connection, by the protocol
 ERRORS = 16  # of one connection, then it ends
-UNREAD = 262_144  # bytes that wait for a client; beyond, nothing more is read from it
+UNREAD = 262_144  # bytes that wait for a client; beyond, no task is taken from it
 MS = 1_000_000
+CROSSING = 5 * MS  # until an answer has reached a client: to whoever wrote before, its task was still open
 FIRST = 2_000 * MS  # for the first whole message, and for the rest of one that has begun
 IDLE = 5_000 * MS  # clients close after 4 s themselves
 SLOW = 2_500 * MS  # a client that reads nothing for so long has left
@@ -32,7 +34,7 @@
         self.transport: Any = None
         self.frames = rpc.Frames()
         self.open: dict[int, Held] = {}
-        self.answered = 0  # tasks, since the read at hand began: to whoever wrote it they were open, too
+        self.counted: list[int] = []  # until when each task counts as open that is so no more here
         self.last = 0  # number
         self.errors = 0
         self.spoke = False  # a message that was taken
@@ -49,16 +51,12 @@
 
     def data_received(self, data: bytes) -> None:
         now = self.door.dispatcher.clock()
-        self.answered = 0
         bad: rpc.BadFrame | None = None
         try:
             messages = self.frames.feed(data)
         except rpc.BadFrame as error:
             messages, bad = error.done, error
-        for message in messages:
-            if self.over:
-                return
-            self.door.heard(self, message, now)
+        self.door.heard(self, messages, now)
         if messages:
             self.read = now
         if not self.frames.partial:
@@ -70,7 +68,8 @@
             self.close()
 
     def eof_received(self) -> None:
-        return None  # whoever closes has left
+        """Whoever closes, or half of it, has left: now, and not once all that was written has gone out."""
+        self.close()
 
     def connection_lost(self, _error: Exception | None) -> None:
         self.over = True
@@ -78,13 +77,11 @@
         self.door.closing.pop(self, None)
 
     def pause_writing(self) -> None:
+        """It goes on being read: that it takes a task back, or leaves, stands there."""
         self.stuck = self.door.dispatcher.clock()
-        self.transport.pause_reading()
 
     def resume_writing(self) -> None:
         self.stuck = 0
-        if not self.over:
-            self.transport.resume_reading()
 
     # -- ours
 
@@ -107,7 +104,14 @@
             return False
         if self.begun:
             return now - self.begun > FIRST
-        return now - self.read > (IDLE if self.spoke else FIRST)
+        if now - self.read <= (IDLE if self.spoke else FIRST):
+            return False
+        return not readable(self.transport)  # a task that came as this turn began is read in it
+
+    def counts(self, now: int) -> int:
+        """Tasks that are open to the client, or cost the runners as much."""
+        self.counted = [until for until in self.counted if until > now]
+        return len(self.open) + len(self.counted)
 
 
 class Door:
@@ -140,7 +144,7 @@
         self.clients[client] = None
         if len(self.clients) <= self.connections:
             return
-        others = [c for c in self.clients if c is not client and not c.open]
+        others = [c for c in self.clients if c is not client and not c.open and not readable(c.transport)]
         silent = next((c for c in others if not c.spoke), None)
         (silent or min(others, key=lambda c: c.read, default=client)).close()
         self.dispatcher.counts["client", "no place"] += 1
@@ -164,35 +168,69 @@
         if len(self.spent) > self.tasks:
             del self.spent[next(iter(self.spent))]
 
-    def heard(self, client: Client, message: bytes, now: int) -> None:
-        try:
-            call = rpc.read(message)
-            if call.method == "ping":
-                client.write(rpc.up(call.number, self.dispatcher.listed.is_set()))
-            elif call.method == "abort":
-                self._abort(client, call)
-            else:
-                self._take(client, call, now)
-            client.spoke = True
-        except BadCall as error:
-            self.dispatcher.counts["refused", str(error.code)] += 1
-            client.errors += 1
-            number = error.number
-            if number is not None and number in client.open:
-                number = None  # its one answer is still to come
-            client.write(rpc.error(number, error.code, error.detail))
-            if number is None or client.errors > ERRORS:
+    def heard(self, client: Client, messages: list[bytes], now: int) -> None:
+        """One read. What is taken back in the read that it came in is not taken at all."""
+        calls: list[Call | BadCall] = []
+        for message in messages:
+            try:
+                calls.append(rpc.read(message))
+            except BadCall as error:
+                calls.append(error)
+        back: set[int | str | None] = set()
+        over: set[int] = set()  # places in `calls`
+        for at in range(len(calls) - 1, -1, -1):
+            call = calls[at]
+            if isinstance(call, BadCall):
+                continue
+            if call.method == "abort":
+                back.add(call.about)
+            elif call.number in back or call.id in back:
+                over.add(at)
+        for at, call in enumerate(calls):
+            if client.over:
+                return
+            try:
+                if isinstance(call, BadCall):
+                    raise call
+                self._heard(client, call, now, at in over)
+                client.spoke = True
+            except BadCall as error:
+                self._refuse(client, error)
+
+    def _heard(self, client: Client, call: Call, now: int, over: bool) -> None:
+        if call.method == "abort":
+            self._abort(client, call.about, now)
+        elif call.method == "ping":
+            client.write(rpc.up(call.number, self.dispatcher.listed.is_set()))
+        else:
+            self._take(client, call, now, over)
+        if client.stuck and call.method != "abort":
+            client.errors += 1  # whoever asks for ever more and reads nothing
+            if client.errors > ERRORS:
                 client.close()
 
-    def _abort(self, client: Client, call: Call) -> None:
-        """No answer is owed for it, nor for the task."""
+    def _refuse(self, client: Client, error: BadCall) -> None:
+        self.dispatcher.counts["refused", str(error.code)] += 1
+        client.errors += 1
+        number = error.number
+        if number is not None and number in client.open:
+            number = None  # its one answer is still to come
+        client.write(rpc.error(number, error.code, error.detail))
+        if number is None or client.errors > ERRORS:
+            client.close()
+
+    def _abort(self, client: Client, about: int | str | None, now: int) -> None:
+        """No answer is owed for it, nor for the task. Its runner may be at it for a while: until then it
+        counts as open, or hundreds that are taken back at once would get hundreds of hand-offs."""
         for number, held in client.open.items():
-            if held.wanted.id == call.id or number == call.number:
+            if about in (number, held.wanted.id):
                 del client.open[number]
+                if held.task is not None and held.task.hand_offs:
+                    client.counted.append(now + held.task.offering.soft_limit)
                 self._leave(held)
                 return
 
-    def _take(self, client: Client, call: Call, now: int) -> None:
+    def _take(self, client: Client, call: Call, now: int, over: bool) -> None:
         dispatcher, number = self.dispatcher, call.number
         assert number is not None
         if number <= client.last:
@@ -206,9 +244,13 @@
             raise BadCall(rpc.PARAMS, "id: of a request that is open", number)
         if call.id in self.spent:
             raise BadCall(rpc.PARAMS, "id: of a request that was answered", number)
+        if over:
+            self._spend(call.id)
+            return
         size = len(call.blob)
         if (
-            len(client.open) + client.answered >= OPEN
+            client.stuck
+            or client.counts(now) >= OPEN
             or len(dispatcher.held) >= self.tasks
             or dispatcher.bytes + size > self.held_bytes
         ):
@@ -220,7 +262,7 @@
 
         def done(held: Held) -> None:
             client.open.pop(number, None)
-            client.answered += 1
+            client.counted.append(dispatcher.clock() + CROSSING)
             self._spend(call.id)
             client.write(answer(number, held))
             held.content = held.answer = (
