The stop leaves nothing that the machine has accepted, follows the roster and ends before a kill

Cause: at the end of the time for clients the listener was closed with connections in its backlog, and clients with bytes that the loop had not read: taken and never answered. SIGHUP was not heard during the stop, so that the list stood still for seconds while drains were told. A stop lasted the longest hard limit, and a kill comes after 3 s and 0.7 s at the latest. A signal during the imports ended the program as a crash. Change: both are read to the end; one reader of signals for the whole life; what cannot end before the kill is answered 0.1 s before it; signals are noted from the first line of the program on.

--- a/martenlead/node/serve.py
+++ b/martenlead/node/serve.py
@@ -10,21 +10,29 @@
 import socket
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
 
 import anyio
 import structlog
+from anyio.abc import TaskGroup
 
 from martenlead.edge.dispatcher import Dispatcher
+from martenlead.edge.waits import within
 from martenlead.node import config
 from martenlead.node.door import Client, Door
 from martenlead.node.roster import JournalSource
 from martenlead.node.runners import RunnerLink
+from martenlead.node.sockets import readable
 
 OWN = 40  # descriptors for the listener, the event loop, the journal service and what the interpreter opens
 STOPPING = 0.8  # s after SIGTERM in which clients still come
+KILLED, KILLED_MOST = (
+    0.7,
+    3.0,
+)  # s: SIGKILL comes no sooner than this and the longest hard limit, at most so long
+LEAVING = 0.1  # s before it, for the last answers to leave
 HELD = 1 / 8  # of the memory limit, for bodies of tasks that are held
 
 
@@ -47,10 +55,12 @@
         self.dispatcher = Dispatcher(told.about, self.link, self.source, now)
         held = int(told.limits.memory_mb * 2**20 * HELD)
         self.door = Door(self.dispatcher, sockets // 2, max(100, int(told.limits.memory_mb * 8)), held)
+        self.stopping = False
         self.log = structlog.get_logger().bind(edge=told.about.name)
 
-    async def serve(self, started: Callable[[], None] | None = None) -> None:
-        """Until SIGTERM has been obeyed. Raises OSError for the listener."""
+    async def serve(self, started: Callable[[], None] | None = None, early: Sequence[int] = ()) -> None:
+        """Until SIGTERM has been obeyed. Raises OSError for the listener. `early` signals came before they
+        could be received here."""
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(self._fault)
         async with anyio.create_task_group() as group:
@@ -65,16 +75,21 @@
                 self.log.info("serves", host=host, port=port)
                 if started is not None:
                     started()
+                for number in early:
+                    self._got(signal.Signals(number), group, listener, server)
                 async for got in signals:
-                    if got is not signal.SIGHUP:
-                        break
-                    self.reload()
-                self.log.info("stops", held=len(self.dispatcher.held))
-                await self._stop(server)
-            self.log.info(
-                "stopped", counts={" ".join(k): n for k, n in sorted(self.dispatcher.counts.items())}
-            )
-            group.cancel_scope.cancel()
+                    self._got(got, group, listener, server)
+
+    def _got(
+        self, got: signal.Signals, group: TaskGroup, listener: socket.socket, server: asyncio.Server
+    ) -> None:
+        """The roster is followed to the end, so that it may move while the stop goes on."""
+        if got is signal.SIGHUP:
+            self.reload()
+        elif not self.stopping:
+            self.stopping = True
+            self.log.info("stops", held=len(self.dispatcher.held))
+            group.start_soon(self._stop, group, listener, server)
 
     def _fault(self, _loop: asyncio.AbstractEventLoop, told: dict[str, Any]) -> None:
         """Of a callback of the event loop: it costs one connection, and is told as any fault of ours is."""
@@ -93,21 +108,31 @@
         self.source.move(told.journal)
         self.log.info("the configuration was read again", journal=told.journal)
 
-    async def _stop(self, server: asyncio.Server) -> None:
-        """Clients still come for a while, and all that was taken is answered."""
-        dispatcher = self.dispatcher
-        await anyio.sleep(STOPPING)
-        server.close()
+    async def _stop(self, group: TaskGroup, listener: socket.socket, server: asyncio.Server) -> None:
+        """Clients still come for a while, and all that was taken is answered, by the time of a kill at the
+        latest. What the machine has accepted counts as taken: no connection in the backlog and no bytes of a
+        client are left behind."""
+        dispatcher, door = self.dispatcher, self.door
         longest = max(dispatcher.hard.values(), default=0) / 1e9
-        with anyio.move_on_after(longest):
-            while dispatcher.held:
+        last = min(longest, KILLED_MOST) + KILLED - LEAVING
+        clients = min(STOPPING, last - LEAVING)
+        await anyio.sleep(clients)
+        with within(last - clients):
+            while readable(listener):
+                await anyio.sleep(0.005)
+            server.close()
+            await anyio.sleep(0.01)  # what was accepted last has yet to be made a client
+            while dispatcher.held or any(readable(client.transport) for client in door.clients):
                 await anyio.sleep(0.01)
+        server.close()
         dispatcher.hasten()
-        for client in list(self.door.clients):
+        for client in list(door.clients):
             client.close()
-        with anyio.move_on_after(0.3):
-            while self.door.closing:
+        with within(0.3):
+            while door.closing:
                 await anyio.sleep(0.01)
+        self.log.info("stopped", counts={" ".join(k): n for k, n in sorted(dispatcher.counts.items())})
+        group.cancel_scope.cancel()
 
 
 def configure_log() -> None:
@@ -123,7 +148,7 @@
     )
 
 
-def main() -> int:
+def main(early: Sequence[int] = ()) -> int:
     configure_log()
     try:
         node = Node(Path(os.environ.get("ROUTER_CONFIG", "")))
@@ -137,7 +162,7 @@
     gc.set_threshold(2_000, 5, 5)
     status = 0
     try:
-        anyio.run(node.serve, backend_options={"use_uvloop": True})
+        anyio.run(node.serve, None, early, backend_options={"use_uvloop": True})
     except* OSError as errors:
         structlog.get_logger().error("it cannot listen", at=node.told.listen, why=str(errors.exceptions[0]))
         status = 2
