--- a/martenlead/node/roster.py
+++ b/martenlead/node/roster.py
@@ -80,14 +80,16 @@
             return "a fault of ours"
 
     def _tell(self, dispatcher: Dispatcher, news: News) -> None:
-        if news.runners is None or news.version <= self.list.version:
+        if news.version <= self.list.version:
             return  # nothing new, or written twice
-        if not news.whole and news.version > self.list.version + 1:
-            gap = self.list.version, news.version
-            if gap != self._gap:
-                self._gap = gap
-                raise Gap(f"at {gap[0]}, told of {gap[1]}")
-            # asked again it has nothing between: better what changed since than none of it, for good
+        ahead = news.runners is None or (not news.whole and news.version > self.list.version + 1)
+        gap = self.list.version, news.version
+        if ahead and gap != self._gap:
+            self._gap = gap
+            raise Gap(f"at {gap[0]}, told of {gap[1]}")
+        if news.runners is None:
+            return
+        if ahead:  # asked again it has nothing between: better what changed since than none of it, for good
             self.list.version = news.version - 1
         if self.list.told(age(news, dispatcher.clock())):
             dispatcher.news(news.runners, news.whole)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import os
 import signal
 import socket
@@ -551,6 +552,23 @@
         assert (p.journal.asked[:2], p.node.source.list.version) == ([1, 1], 3)
 
 
+async def test_an_empty_frame_that_is_ahead_of_the_list_has_it_asked_for_again(tmp_path: Path) -> None:
+    """Connected, in time, and silent about what it has: drains would be heard of with the next event only."""
+    async with play(tmp_path) as p:
+        await until(lambda: p.journal.streams)
+        await p.runner("b", done)
+        p.journal.events.append(frame(2, 2, p.record("b")))  # never sent on the open connection
+        await until(lambda: len(p.node.dispatcher.boxes) == 2)  # its next empty frame says so
+        assert p.journal.asked == [1, 1]
+        await p.journal.streams[-1].send(frame(9, 0))  # ahead for good: asked once more, not for ever
+        await until(lambda: len(p.journal.asked) == 3)
+        await p.journal.streams[-1].send(frame(9, 0) + frame(9, 0))
+        await p.runner("c", done)
+        await p.journal.tell(p.record("c"))
+        await until(lambda: len(p.node.dispatcher.boxes) == 3)
+        assert len(p.journal.asked) == 3
+
+
 async def test_the_journal_moves_while_it_is_being_connected_to(tmp_path: Path) -> None:
     full = socket.socket()  # a machine that accepts nothing: connections to it stay half made
     full.bind(("127.0.0.1", 0))
@@ -593,3 +611,47 @@
             await anyio.Event().wait()
         assert scope.cancelled_caught and time.monotonic() - before >= seconds
     assert timers == [0.001, 0.003, 0.011]
+
+
+# -- more than two
+
+
+async def test_no_descriptor_left_as_a_connection_is_made(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It never came up, which proves that nothing ran; with descriptors again, the next one does."""
+    async with play(tmp_path, {"a": [done], "b": [done]}) as p:
+        loop = asyncio.get_running_loop()
+        real = loop.create_connection
+        client = await p.client()
+
+        async def none_left(*_args: Any, **_more: Any) -> Any:
+            raise OSError(errno.EMFILE, "Too many open files")
+
+        monkeypatch.setattr(loop, "create_connection", none_left)
+        assert await client.call("unsafe", id="00000000000000aa") == "turned back"
+        monkeypatch.setattr(loop, "create_connection", real)
+        assert await client.call("unsafe", id="00000000000000bb") == "satisfied"
+        assert [line[-2:] for line in p.did()] == ["bb"]
+
+
+async def test_two_nodes_in_one_process_share_nothing(tmp_path: Path) -> None:
+    """Other names, other limits, the same ids: what one is told never shows in the other."""
+    other = SETTINGS | {
+        "orgs": [{"name": "other", "quota-per-s": 5.0}],
+        "classes": [{"name": "lookup", "effect": "read_like", "on-time": 0.1, "give-up": 0.25}],
+    }
+    (tmp_path / "1").mkdir()
+    (tmp_path / "2").mkdir()
+    async with play(tmp_path / "1") as one, play(tmp_path / "2", settings=other) as two:
+        first, second = await one.client(), await two.client()
+        assert await first.call("safe") == "satisfied"
+        assert await second.call("safe") == "error -32601"
+        assert await second.call("lookup") == "error -32602"  # its customer is the other's
+        assert await second.call("lookup", id=f"{1:016x}", tenant="other") == "satisfied"
+        assert [len(p.did()) for p in (one, two)] == [1, 1]
+        assert [len(p.node.door.spent) for p in (one, two)] == [1, 1]
+        assert one.node.dispatcher.hard != two.node.dispatcher.hard
+        found = [vars(p.node.dispatcher.border._brain) for p in (one, two)]
+        shared = [n for n, v in found[0].items() if isinstance(v, dict | list) and v is found[1][n]]
+        assert shared == []
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -244,3 +244,29 @@
         played = wire(line)
         assert played.returncode == 1
         assert played.stderr.startswith("not a batch: ") and played.stderr.count("\n") == 1
+
+
+def test_a_release_of_all_models_on_a_quiet_day() -> None:
+    """No list change tells of it: copies are gone wherever they are looked for. Orders stay in the ration,
+    each model is served again by its next tasks, and no runner gets all that comes."""
+    play = Play(runners="abcde", ration_window=10_000 * MS, ration_free=2, ration_share=0.3, front_ends=3)
+    for model in "mnop":
+        play.served(6, model, every=300)
+    play.to(20_000)
+    given: list[int] = []
+    loads: dict[str, int] = {}
+    for n in range(40):  # one task in half a second: each model one in two
+        play.to(20_000 + 500 * n)
+        before = len(play.orders)
+        play.task(f"t{n}", "mnop"[n % 4])
+        given += [play.brain.now // MS] * (len(play.orders) - before)
+        hand_off = play.hand_offs[-1]
+        where = f"{play.names[hand_off.task.model]} at {play.names[hand_off.runner]}"
+        loads[where] = loads.get(where, 0) + 1
+        play.stands()
+        play.answer(warmth=io.Warmth.BEGAN if loads[where] == 1 else io.Warmth.WARM)
+    for at in given:
+        tasks = sum(at - 10_000 < 20_000 + 500 * n <= at for n in range(40))
+        assert sum(at - 10_000 < t <= at for t in given) <= 2 + 0.3 * tasks
+    assert len(loads) <= 8  # of 20 places: service is back with the first load of each, and stays there
+    assert max(loads.values()) < 20
