Tasks that were taken back make no room for orders

Cause: the ration counted every task that was taken (Brain.count), also those whose client took them back at once. Change: closed() takes a task whose client left out of the count.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -591,6 +591,10 @@
         """A task that is over leaves nothing waiting. Where its client `left` with its one hand-off out, that
         may end: a runner goes on with most of what is called off, and would be taken for free meanwhile."""
         if left:
+            if task.hand_offs and task.hand_offs[0].sent in self.taken:
+                self.taken.remove(
+                    task.hand_offs[0].sent
+                )  # sent and taken back, tasks make no room for orders
             return []
         return [io.CallOff(h) for h in task.hand_offs if h.result is None and self.settings.call_off]
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -152,6 +152,22 @@
     assert (play.brain.may_order(runner), len(play.brain.going)) == (True, 0)
 
 
+def test_tasks_that_were_taken_back_make_no_room_for_orders() -> None:
+    play = Play(ration_window=10_000 * MS, ration_free=0, ration_share=0.3, orders=False)
+    for n in range(40):
+        play.to(10 * n)
+        task = play.task(f"t{n}")
+        if play.hand_offs:
+            play.engine.closed(task)
+            play.answer()
+    assert (len(play.brain.taken), play.brain.may_order(play.runners["a"])) == (0, False)
+    for n in range(4):
+        play.to(500 + 50 * n)
+        play.task(f"u{n}")
+        play.answer()
+    assert (len(play.brain.taken), play.brain.may_order(play.runners["a"])) == (4, True)
+
+
 def test_an_order_may_arrive_as_late_as_a_connection_comes_up() -> None:
     """It is counted against the tasks before it arrives: some before it was given may be too old by then."""
     play = Play(ration_window=10_000 * MS, ration_free=0, ration_share=0.5, reach=1000 * MS, orders=False)
