Tests of crossings force the last instant: connections and bytes that come as a stop ends

Cause: with guards taken out one at a time, four tests still passed: the standard loop reads before it runs timers, and tasks taken back in their read had no connection yet to leave by. Change: a connection or bytes are put into the machine at the instant between the last look and the close; no task may be counted as left. Program unchanged.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -156,7 +156,7 @@
         tasks = [client.task(id=f"{n:016x}") for n in range(1, 31)]
         await client.send(b"".join([*tasks, *(abort(n) for n in range(1, 31)), client.task()]))
         assert (await client.answer() or {})["id"] == 31
-        assert p.did() == ["a DO 1f"]
+        assert (p.did(), p.node.dispatcher.counts["final", "left"]) == (["a DO 1f"], 0)
         assert await client.call(id=f"{7:016x}") == "error -32602"  # it was spent all the same
 
 
@@ -224,7 +224,10 @@
             assert (how, len(p.did())) == (how, 1)
 
 
-async def test_a_client_that_asks_for_ever_more_and_reads_nothing_is_left(tmp_path: Path) -> None:
+async def test_a_client_that_asks_for_ever_more_and_reads_nothing_is_left(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("martenlead.node.door.SLOW", 1 << 62)
     async with play(tmp_path) as p:
         client = await p.client()
         await until(lambda: p.node.door.clients)
@@ -301,6 +304,8 @@
         await until(lambda: waiting(p))
         await p.journal.tell(p.record("a", state=state))
         await until(lambda: not box.up)
+        if state == 2:  # gone: at once, not when a connection to it would have come up
+            await until(lambda: not waiting(p))
         gate.set()
         if what == "order":
             await until(lambda: heard)
@@ -433,38 +438,51 @@
 async def test_what_the_machine_accepted_before_the_listener_goes_is_answered(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
+    """It comes after the loop has looked for the last time, and before the listener is closed."""
     monkeypatch.setattr("martenlead.node.serve.STOPPING", 0.2)
+    caller, came = Caller(None), []  # type: ignore[arg-type]
+
+    def within(seconds: float) -> Any:
+        if not came:
+            came.append(socket.create_connection(("127.0.0.1", p.port)))
+            came[0].send(caller.task())
+        return waits.within(seconds)
+
     async with play(tmp_path) as p:
+        monkeypatch.setattr("martenlead.node.serve.within", within)
         os.kill(os.getpid(), signal.SIGTERM)
-        await until(lambda: p.node.stopping)
-        await anyio.sleep(0.1)
-        sock = socket.create_connection(("127.0.0.1", p.port))
-        caller = Caller(None)  # type: ignore[arg-type]
-        sock.send(caller.task())
-        time.sleep(0.3)  # the loop turns again once the time for clients is over
-        sock.setblocking(False)
+        await until(lambda: came)
+        came[0].setblocking(False)
         got = b""
         with anyio.fail_after(5):
             while b"result" not in got:
-                await anyio.wait_readable(sock)
-                got += sock.recv(4096)
-                assert got
+                await anyio.wait_readable(came[0])
+                got += (data := came[0].recv(4096))
+                assert data
         await until(lambda: p.ended)
-        sock.close()
+        came[0].close()
 
 
 async def test_bytes_of_a_client_that_lie_in_the_machine_as_the_stop_ends_are_read(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
+    """They come as the last held task is known to be over."""
     monkeypatch.setattr("martenlead.node.serve.STOPPING", 0.2)
     async with play(tmp_path) as p:
         client = await p.client()
         assert await client.call() == "satisfied"
+
+        class Empty(dict[Any, Any]):
+            came = False
+
+            def __bool__(self) -> bool:
+                if p.node.stopping and not len(self) and not Empty.came:
+                    Empty.came = True
+                    put(client)
+                return len(self) > 0
+
+        p.node.dispatcher.held = Empty()
         os.kill(os.getpid(), signal.SIGTERM)
-        await until(lambda: p.node.stopping)
-        await anyio.sleep(0.1)
-        put(client)
-        time.sleep(0.3)
         assert word(await client.answer()) == "satisfied"
         await until(lambda: p.ended)
 
