--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -378,8 +378,10 @@
 
     def order(self, copy: Copy) -> io.Order:
         order = io.Order(copy.runner, copy.model, 1)
-        copy.ordered = copy.touched = self.going[order] = self.now
-        self.orders.append(self.now)
+        copy.ordered = copy.touched = self.now
+        if self.settings.ration_window:
+            self.going[order] = self.now
+            self.orders.append(self.now)
         return order
 
     def may_order(self, runner: Runner, part: float = 1.0) -> bool:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -147,9 +147,18 @@
     play.to(16_100)
     assert play.brain.may_order(runner)
     play.to(20_300)  # one whose end is never told counts for two windows, not for good
+    play.brain.order(play.brain.copy(models[1], runner))
+    assert not play.brain.may_order(runner)
+    play.to(30_200)
     assert (play.brain.may_order(runner), len(play.brain.going)) == (True, 1)
-    play.to(30_300)
-    assert (play.brain.may_order(runner), len(play.brain.going)) == (True, 0)
+
+
+def test_without_a_ration_nothing_is_kept_to_count_by() -> None:
+    play = Play()
+    for n in range(50):
+        play.brain.order(play.brain.copy(play.brain.model(io.ModelFacts(n, 2, 3000.0)), play.runners["a"]))
+        play.task(f"t{n}")
+    assert (len(play.brain.orders), len(play.brain.going), len(play.brain.taken)) == (0, 0, 1)
 
 
 def test_tasks_that_were_taken_back_make_no_room_for_orders() -> None:
