--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -26,6 +26,7 @@
 from tests.nodes import (
     SETTINGS,
     Caller,
+    Part,
     Play,
     answer,
     done,
@@ -41,6 +42,7 @@
 
 pytestmark = pytest.mark.anyio
 ORDERS = SETTINGS | {"family-info": SETTINGS["family-info"] | {"placement-calls": True}}
+full = says("WAIT", "")
 METHODS = ("safe", "keyed", "unsafe")
 
 
@@ -56,6 +58,16 @@
     return gate
 
 
+def once(event: anyio.Event, part: Part) -> Part:
+    """Plays that part when this is known to have happened."""
+
+    async def played(runner: Any, stream: Any, told: dict[str, Any]) -> None:
+        await event.wait()
+        await part(runner, stream, told)
+
+    return played
+
+
 def waiting(p: Play) -> list[Any]:
     """What waits for a connection that is not up."""
     conns = [conn for way in p.node.link.ways for conn in way.conns if conn.transport is None]
@@ -110,11 +122,7 @@
     """The runner turns it away once its client is known to have left: there it may not go elsewhere."""
     gone = anyio.Event()
 
-    async def full(runner: Any, stream: Any, told: dict[str, Any]) -> None:
-        await gone.wait()
-        await says("WAIT", "")(runner, stream, told)
-
-    async with play(tmp_path, {"a": [full, done], "b": [full, done]}) as p:
+    async with play(tmp_path, {"a": [once(gone, full), done], "b": [once(gone, full), done]}) as p:
         client = await p.client()
         await client.ask()
         await until(p.did)
@@ -133,11 +141,7 @@
     """Called off, it would go on at most runners all the same, and they would be taken for free."""
     gone = anyio.Event()
 
-    async def part(runner: Any, stream: Any, told: dict[str, Any]) -> None:
-        await gone.wait()
-        await done(runner, stream, told)
-
-    async with play(tmp_path, {"a": [part, done]}) as p:
+    async with play(tmp_path, {"a": [once(gone, done), done]}) as p:
         client = await p.client()
         await client.ask(id="00000000000000aa")
         await until(p.did)
@@ -163,11 +167,7 @@
 async def test_an_abort_for_what_is_unknown_answered_or_anothers_does_nothing(tmp_path: Path) -> None:
     gone = anyio.Event()
 
-    async def part(runner: Any, stream: Any, told: dict[str, Any]) -> None:
-        await gone.wait()
-        await done(runner, stream, told)
-
-    async with play(tmp_path, {"a": [part]}) as p:
+    async with play(tmp_path, {"a": [once(gone, done)]}) as p:
         one, two = await p.client(), await p.client()
         await one.ask(id="00000000000000aa")
         await until(p.did)
@@ -203,13 +203,9 @@
 async def test_a_client_that_does_not_read_is_heard_when_it_leaves(tmp_path: Path) -> None:
     gone = anyio.Event()
 
-    async def full(runner: Any, stream: Any, told: dict[str, Any]) -> None:
-        await gone.wait()
-        await says("WAIT", "")(runner, stream, told)
-
     for how in ("abort", "half close"):
         gone = anyio.Event()
-        async with play(tmp_path, {"a": [full, done], "b": [full, done]}) as p:
+        async with play(tmp_path, {"a": [once(gone, full), done], "b": [once(gone, full), done]}) as p:
             client = await p.client()
             await until(lambda p=p: p.node.door.clients)  # type: ignore[misc]
             (own,) = p.node.door.clients
@@ -490,11 +486,7 @@
 async def test_the_roster_moves_while_the_stop_goes_on(tmp_path: Path) -> None:
     gone = anyio.Event()
 
-    async def part(runner: Any, stream: Any, told: dict[str, Any]) -> None:
-        await gone.wait()
-        await done(runner, stream, told)
-
-    async with play(tmp_path, {"a": [part]}) as p:
+    async with play(tmp_path, {"a": [once(gone, done)]}) as p:
         client = await p.client()
         await client.ask(wait=1900)
         await until(p.did)
