An order that is answered late counts in the ration from its answer, not from its giving

Cause: Brain.ordered took an answered order to have arrived within the time that a connection may take. One that lay at the machine for a runner that was cut off arrives as the cut ends and is answered then, seconds later: the module forgot it 10 s after it was given, the operators count it 10 s from its arrival, and orders given later came on top of it. The test held the wrong date ('was answered: it had come up soon'); it now asks that it counts for a window from its answer, and fails on the module before.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import math
-from bisect import insort
 from collections import deque
 from collections.abc import Iterable
 from random import Random
@@ -404,11 +403,10 @@
 
     def ordered(self, order: io.Order, result: io.Result, copies: int) -> None:
         given = self.going.pop(order, None)
-        if given is not None:  # what was answered had arrived soon; what was not may have until now
-            answered = result in (io.Result.SATISFIED, io.Result.FULL, io.Result.ERROR)
+        if given is not None:  # answered or not, it may have arrived as late as now: a runner was cut off
             if given in self.orders:
                 self.orders.remove(given)
-            insort(self.orders, min(self.now, given + self.settings.reach) if answered else self.now)
+            self.orders.append(self.now)
         copy = self.copy(order.model, order.runner)
         copy.ordered = 0
         new = not copy.stands
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -133,23 +133,28 @@
 
 
 def test_an_order_counts_until_a_window_after_it_may_have_arrived() -> None:
-    """Given to a runner that is cut off it came six seconds late: with the next two, three in a window."""
+    """Given to a runner that is cut off they come six seconds late, the one that is answered then as well: with
+    the next two, four in a window."""
     play = Play(ration_window=10_000 * MS, ration_free=2, ration_share=0.0)
     runner, models = play.runners["a"], [play.brain.model(io.ModelFacts(n, 2, 3000.0)) for n in range(2)]
     first, second = (play.brain.order(play.brain.copy(model, runner)) for model in models)
     play.to(6000)
-    play.brain.ordered(first, io.Result.SATISFIED, 1)  # was answered: it had come up soon
-    play.brain.ordered(second, io.Result.SILENT, 0)  # was not: it may have arrived only now
-    play.to(10_100)
+    play.brain.ordered(first, io.Result.SATISFIED, 1)  # as it came up, and the copy stood already
+    play.to(6500)
+    play.brain.ordered(second, io.Result.SILENT, 0)  # may have arrived only now
+    for time in (10_100, 16_000):
+        play.to(time)
+        assert not play.brain.may_order(runner)
+    play.to(16_100)
     assert [play.brain.may_order(runner) for _ in range(2)] == [True, True]
     play.brain.order(play.brain.copy(models[0], runner))
     assert not play.brain.may_order(runner)
-    play.to(16_100)
+    play.to(16_600)
     assert play.brain.may_order(runner)
-    play.to(20_300)  # one whose end is never told counts for two windows, not for good
+    play.to(26_300)  # one whose end is never told counts for two windows, not for good
     play.brain.order(play.brain.copy(models[1], runner))
     assert not play.brain.may_order(runner)
-    play.to(30_200)
+    play.to(36_200)
     assert (play.brain.may_order(runner), len(play.brain.going)) == (True, 1)
 
 
