--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -133,7 +133,7 @@
 
 
 def test_an_order_counts_until_a_window_after_it_may_have_arrived() -> None:
-    """Given to a runner that is cut off they come six seconds late, the one that is answered then as well: with
+    """Given to a runner that is cut off they come six seconds late, also the one that is answered then: with
     the next two, four in a window."""
     play = Play(ration_window=10_000 * MS, ration_free=2, ration_share=0.0)
     runner, models = play.runners["a"], [play.brain.model(io.ModelFacts(n, 2, 3000.0)) for n in range(2)]
