Lines leave as they are written, or their connection gets no more; a connect that fails oddly ends nothing

Cause, by reading: up to 64 KB that the machine did not take lay in the transport's own buffer (pause_writing came beyond that only), and all that waited for a connection was written at once as it came up. So a whole line could leave when a runner reads again, seconds after it was told as draining. And RunnerLink._connect caught OSError alone: anything else the event loop raises there would have ended the task group, and the program. Change: the buffer's bound is 0, so that a connection that did not take a line whole is full at once, gets nothing new, and what waits behind it is told as not sent, which is proven. What _connect does not expect is a fault that costs what waits there. Result: both tests, on real connections, fail on the code before; the first also with the bound alone taken out.

--- a/martenlead/node/runners.py
+++ b/martenlead/node/runners.py
@@ -84,12 +84,18 @@
         if self not in self.way.conns:
             transport.abort()  # given up in the turn that it came up in: all that waited was told as unsent
             return
+        # each line goes to the machine as it is written, or the connection is full: none lies here and leaves
+        # when its runner reads again, drained by then
+        transport.set_write_buffer_limits(0)
         now = self.heard = self.since = self.link.clock()
-        late = [(sent, why) for sent in self.open.values() if (why := sent.late())]
-        for sent, _ in late:
-            del self.open[sent.txn]
-        for sent in self.open.values():
-            self._write(sent, now)
+        late = []
+        for sent in list(self.open.values()):
+            why = sent.late() or ("the runner does not read" if self.full else "")
+            if why:
+                del self.open[sent.txn]
+                late.append((sent, why))
+            else:
+                self._write(sent, now)
         self._free(bool(self.open))
         for sent, why in late:  # last: what they are told may bring the next hand-off, over this connection
             sent.told(Heard(Result.NOT_SENT, why=why))
@@ -344,6 +350,9 @@
                 conn.end("no connection in time")
         except OSError:
             conn.end("no connection")
+        except Exception as error:  # of the event loop or ours: it must not end the group, and the program
+            self.dispatcher.fault(error)
+            conn.end("no connection")
 
     # -- time-outs
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -399,6 +399,76 @@
         assert p.node.link._pick(conn.way, []) is conn
 
 
+async def test_lines_that_the_machine_does_not_take_never_leave_later(tmp_path: Path) -> None:
+    """Two wait for one connection, and the first fills it: the second is not left here, to leave when the
+    runner reads again, drained by then. Nor does a full connection get a third."""
+    runner = socket.socket()  # accepts, and reads nothing until it is told to
+    runner.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+    runner.bind(("127.0.0.1", 0))
+    runner.listen()
+    at = runner.getsockname()[1]
+    async with play(tmp_path) as p:
+        gate, real = anyio.Event(), p.node.link._connect
+
+        async def connect(conn: Any) -> None:
+            made = conn.connection_made
+
+            def small(transport: Any) -> None:
+                transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+                made(transport)
+
+            conn.connection_made = small
+            await gate.wait()
+            await real(conn)
+
+        p.node.link._connect = connect  # type: ignore[method-assign]
+        p.node.link.sockets = 1  # one connection to it
+        await until(lambda: p.journal.streams)
+        await p.journal.tell(p.record("a", state=2), record(ord("b"), at))
+        await until(lambda: "s-00000062" in p.node.dispatcher.boxes)
+        box = p.node.dispatcher.boxes["s-00000062"]
+        box.runner.width = 100.0
+        client = await p.client()
+        for _ in range(2):
+            await client.ask("unsafe", blob="QUFB" * 5000, wait=1900)
+        await until(lambda: len(waiting(p)) == 2)
+        gate.set()
+        told = await client.answer()
+        assert (word(told), (told or {})["id"]) == ("turned back", 2)  # it is proven not to have run
+        assert await client.call("unsafe", wait=1900) == "turned back"
+        await p.journal.tell(record(ord("b"), at, state=1))
+        await until(lambda: not box.up)
+        stream, _ = runner.accept()
+        stream.setblocking(False)
+        got = b""
+        while got.count(b"\n") < 2:  # the first, and that it is given up
+            await anyio.wait_readable(stream)
+            got += (data := stream.recv(65536))
+            assert data
+        assert [line[6:8] for line in got.splitlines()] == [b"DO", b"UN"]
+        stream.close()
+    runner.close()
+
+
+async def test_a_fault_as_a_connection_is_made_costs_what_waits_for_it_and_no_more(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The event loop raises more than OSError where a transport goes in the turn that it came in."""
+    async with play(tmp_path) as p:
+        loop = asyncio.get_running_loop()
+        real = loop.create_connection
+
+        async def fails(*_args: Any, **_more: Any) -> Any:
+            raise RuntimeError("the handler is closed")
+
+        client = await p.client()
+        monkeypatch.setattr(loop, "create_connection", fails)
+        assert await client.call("unsafe") == "turned back"
+        monkeypatch.setattr(loop, "create_connection", real)
+        assert await client.call("unsafe") == "satisfied"
+        assert p.node.dispatcher.counts["fault", "RuntimeError"] == 1
+
+
 # -- clients' connections
 
 
