One piece asks a socket what lies there; a test of answers that have yet to reach their client

Conn.dead polled a number that it had kept, readable asks the transport: where the event loop has closed a connection and not told of it yet, the number could be another socket's, and what is written there is dropped. Now a closing transport is dead, and both ask one way. Test: tasks spread over five reads with all answers known to be on their way count as open (32 of 100 are taken); with the guard taken out all are, and it fails.

--- a/martenlead/node/runners.py
+++ b/martenlead/node/runners.py
@@ -12,7 +12,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from collections.abc import Callable
 from heapq import heappop, heappush
 from typing import Any
@@ -26,6 +25,7 @@
 from martenlead.node import lines
 from martenlead.node.config import Conn as Told
 from martenlead.node.rpc import BODY, Call
+from martenlead.node.sockets import readable
 from martenlead.runnerlink.heard import Heard
 from martenlead.runnerlink.roster import Line
 
@@ -69,7 +69,6 @@
     def __init__(self, link: RunnerLink, way: Way) -> None:
         self.link, self.way = link, way
         self.transport: Any = None
-        self.poll: select.poll | None = None
         self.open: dict[str, Sent] = {}
         self.stale: set[str] = set()  # given up: their answers may still come
         self.full = False  # what was written has yet to leave: the runner does not read
@@ -180,11 +179,9 @@
         return first is not None and now > first.overdue and self.heard <= first.written
 
     def dead(self) -> bool:
-        """Anything to read on an idle connection is its end, or bytes that answer nothing."""
-        if self.poll is None:
-            self.poll = select.poll()
-            self.poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(self.poll.poll(0))
+        """Anything to read on an idle connection is its end, or bytes that answer nothing. One that the event
+        loop has closed, and not told of yet, would drop what is written."""
+        return self.transport.is_closing() or readable(self.transport)
 
     def end(self, why: str = "") -> None:
         """Closes it; all that is open on it ends. The first call counts."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -200,6 +200,23 @@
         assert (set(told), len(p.did())) == ({"turned back"}, 32)
 
 
+async def test_answered_tasks_count_as_open_until_their_answers_have_reached_the_client(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Hundreds at once come in several reads: who wrote them had none of the answers between."""
+    monkeypatch.setattr("martenlead.node.door.CROSSING", 1 << 62)  # no answer ever reaches it
+    async with play(tmp_path) as p:
+        client = await p.client()
+        for box in p.node.dispatcher.boxes.values():
+            box.runner.width = 100.0
+        told = []
+        for _ in range(5):
+            for _ in range(20):
+                await client.ask()
+            told += [word(await client.answer()) for _ in range(20)]  # all was read, and is over
+        assert (told.count("satisfied"), told.count("turned back"), len(p.did())) == (32, 68, 32)
+
+
 async def test_a_client_that_does_not_read_is_heard_when_it_leaves(tmp_path: Path) -> None:
     gone = anyio.Event()
 
