A new life waits for its address as long as an old one may have it

Cause, by reading: Node.serve binds once. Change: asked for again each 0.05 s for as long as an old life may live and a second more; then the end, with its line, as before. Any other reason ends it at once. Result: the test, with the address held until the node has found it taken, fails on the code before.

--- a/martenlead/node/serve.py
+++ b/martenlead/node/serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import gc
 import logging
 import os
@@ -33,6 +34,7 @@
     3.0,
 )  # s: SIGKILL comes no sooner than this and the longest hard limit, at most so long
 LEAVING = 0.1  # s before it, for the last answers to leave
+AGAIN = 0.05  # s between two tries for an address that is taken
 HELD = 1 / 8  # of the memory limit, for bodies of tasks that are held
 
 
@@ -69,8 +71,7 @@
                 group.start_soon(self.door.run)
                 await self.dispatcher.listed.wait()
                 host, port = self.told.listen
-                # bound here: the loop would look up its own address on four threads, which then stay
-                listener = socket.create_server((host, port), backlog=512)
+                listener = await self._listen()
                 server = await loop.create_server(lambda: Client(self.door), sock=listener)
                 self.log.info("serves", host=host, port=port)
                 if started is not None:
@@ -80,6 +81,18 @@
                 async for got in signals:
                     self._got(got, group, listener, server)
 
+    async def _listen(self) -> socket.socket:
+        """Bound here: the loop would look up its own address on four threads, which then stay. An old life
+        may have it as long as it may live after SIGTERM, and a second to be ended in. Raises OSError."""
+        for _ in range(round((KILLED + KILLED_MOST + 1) / AGAIN)):
+            try:
+                return socket.create_server(self.told.listen, backlog=512)
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE:
+                    raise
+                await anyio.sleep(AGAIN)
+        return socket.create_server(self.told.listen, backlog=512)
+
     def _got(
         self, got: signal.Signals, group: TaskGroup, listener: socket.socket, server: asyncio.Server
     ) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -605,6 +605,34 @@
         assert 3.4 < anyio.current_time() - start < 3.7
 
 
+async def test_the_address_is_taken_over_from_an_old_life_that_still_has_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    tries: list[Any] = []
+    real = socket.create_server
+
+    def create(at: tuple[str, int], **more: Any) -> Any:
+        tries.append(at)
+        return real(at, **more)
+
+    old = real(("127.0.0.1", 0))
+    async with play(tmp_path) as p:
+        p.port = old.getsockname()[1]
+        p.write(p.journal.port)
+        monkeypatch.setattr("martenlead.node.serve.socket.create_server", create)
+        started = anyio.Event()
+        p.group.start_soon(type(p.node)(p.path).serve, started.set)
+        await until(lambda: tries)  # and found it taken
+        old.close()
+        await until(started.is_set)
+        assert await (await p.client()).call() == "satisfied"
+        monkeypatch.setattr("martenlead.node.serve.KILLED_MOST", -1.5)
+        with pytest.raises(ExceptionGroup) as raised:  # whoever has it keeps it: an end, and why
+            await type(p.node)(p.path).serve()
+        assert raised.group_contains(OSError, match="in use")
+        assert len(tries) > 4
+
+
 async def test_a_stop_that_was_asked_for_before_the_node_could_hear_it(tmp_path: Path) -> None:
     async with play(tmp_path) as p:
         os.kill(os.getpid(), signal.SIGTERM)
