--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -416,6 +416,20 @@
         assert p.node.link._pick(conn.way, []) is conn
 
 
+async def test_a_connection_that_the_loop_has_closed_and_not_told_of_is_not_written_to(
+    tmp_path: Path,
+) -> None:
+    """What is written to it is dropped, and an unrepeatable task would be scrapped for nothing."""
+    async with play(tmp_path) as p:
+        client = await p.client()
+        assert await client.call("unsafe") == "satisfied"
+        ((conn,),) = (way.conns for way in p.node.link.ways)
+        conn.transport.abort()  # as an error does that the loop meets: told at the end of this turn
+        assert conn in conn.way.conns
+        assert p.node.link._pick(conn.way, []) is not conn
+        assert await client.call("unsafe") == "satisfied"
+
+
 async def test_lines_that_the_machine_does_not_take_never_leave_later(tmp_path: Path) -> None:
     """Two wait for one connection, and the first fills it: the second is not left here, to leave when the
     runner reads again, drained by then. Nor does a full connection get a third."""
