Long lists of workers: bounded candidates from a tree, and checks some functions at a time

Cause: each function that a dispatcher saw kept an order of all workers (8 bytes times workers times functions), made it anew with each change of the list, and each line of news sorted the whole list and went through all functions; the periodic check went through all functions in one step. At 7,700 workers and 11,000 functions that was milliseconds a call. Change: `candidates.py` ranks workers: up to 256 as before, beyond that by hierarchical rendezvous hashing over a tree of summed weights, a few candidates drawn when asked for. A change of the list costs the height of the tree; a worker knows its own replicas; checks take 64 functions at a time. A faded function is forgotten with its replicas.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -10,12 +10,13 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from dataclasses import replace
 from random import Random
 from typing import Any
-from zlib import crc32
 
 from martenlead import interface as io
+from martenlead.candidates import CandidateIndex, Ranking
 
 MS = 1_000_000
 SECOND = 1000 * MS
@@ -34,6 +35,8 @@
 FADING = 0.99  # a period: what is left of the best rate seen, which has to outlast a release
 NEWS = 4  # answers that tell a runner's pace: where few come, they are kept for longer
 KNOWN = 3.0  # answers that a model's latencies of an earlier life count for at most
+CHECKED, SLICE = 64, MS  # models that are checked at once, and the time until the next of them
+KEPT = 64  # copies of a model; beyond, what is not in use is forgotten
 FADED = 0.01  # tasks of a model that its rate still counts: it is checked no more
 GROWTH = 0.4  # of the ration is for new copies: renewals need the rest, and the store its peace
 SPARE = 0.3  # of a runner's width is kept from repeated tasks and those over their customer's share
@@ -103,7 +106,8 @@
 class Runner:
     def __init__(self, facts: io.RunnerFacts, now: int, width: float) -> None:
         self.facts = facts
-        self.listed, self.part = False, 0.0  # of all that the roster's runners can do
+        self.listed = False
+        self.copies: dict[Model, Copy] = {}
         self.out = self.running = 0  # hand-offs, and those of them that should have met a copy
         self.credit = 1.0
         self.width = width
@@ -122,8 +126,7 @@
         self.copies: dict[Runner, Copy] = {}
         self.latency = Histogram()
         self.home: Runner | None = None
-        self.order: list[Runner] = []
-        self.order_made = -1
+        self.ranking = Ranking(facts.mark)
         self.second = now
         self.counts = [0, 0]  # tasks of this second, this period
         self.seen = self.cost = self.most = 0.0  # tasks within span; mean of the hints; Rmax
@@ -138,17 +141,18 @@
         chance = Random(seed)
         self.pick = chance.random
         self.now = 0
-        self.runners: list[Runner] = []
-        self.roster_version = 0
-        self.memory = 0.0
+        self.index = CandidateIndex()
+        self.runners: list[Runner] = self.index.workers
         self.models: dict[Model, None] = {}
+        self.unchecked: deque[Model] = deque()  # of this period
+        self.paced: dict[Runner, None] = {}  # those that answered lately
         self.latency = Histogram()
         self.taken: deque[int] = deque()
         self.orders: deque[int] = deque()  # when each was given, once it has ended by when it had arrived
         self.going: dict[io.Order, int] = {}  # not ended, since when: they may arrive at any time
         self.rate = self.best = self.asked = 0.0  # a second: satisfied, the best of it, first tried
         self.peers: float = settings.front_ends  # how many like this one carry all tasks
-        self.satisfied = self.running = 0
+        self.satisfied = self.running = self.span = 0
         self.served: dict[io.Customer, int] = {}
         self.rates: dict[io.Customer, float] = {}
         self.period = max(SECOND, settings.keep // 4)  # renewals need a few periods within the keep-alive
@@ -165,36 +169,32 @@
         return model
 
     def roster(self, news: Iterable[tuple[Any, io.RunnerFacts]], whole: bool) -> None:
-        listed: dict[Runner, None] = {}
-        before = self.runners
+        told: dict[Runner, None] = {}
         for runner, facts in news:
-            listed[runner] = None
+            told[runner] = None
             if facts.since != runner.facts.since and runner.listed:
                 self.forget(runner)
-            runner.facts = facts
-        kept = [] if whole else [r for r in self.runners if r not in listed]
-        for runner in self.runners:
-            if whole and runner not in listed:
-                runner.facts.state = io.State.GONE
-        up = [r for r in listed if r.facts.state is not io.State.GONE]
-        for runner in self.runners:
-            runner.listed = False
-        self.runners = sorted(kept + up, key=lambda r: r.facts.mark)
-        weight = sum(r.facts.weight for r in self.runners) or 1.0
-        for runner in self.runners:
-            runner.listed, runner.part = True, runner.facts.weight / weight
-        self.memory = sum(r.facts.memory for r in self.runners)
-        for runner in listed:
+            self.enlist(runner, facts)
+        for runner in [r for r in self.runners if r not in told] if whole else []:
+            self.enlist(runner, replace(runner.facts, state=io.State.GONE))
+        for runner in told:
             if runner.facts.state is not io.State.UP:
                 self.forget(runner)
-        self.roster_version += self.runners != before
+
+    def enlist(self, runner: Runner, facts: io.RunnerFacts) -> None:
+        before, listed = runner.facts, facts.state is not io.State.GONE
+        same = (before.weight, before.memory) == (facts.weight, facts.memory)
+        if runner.listed and not (listed and same):
+            self.index.remove(runner)
+        runner.facts = facts
+        if listed and not (runner.listed and same):
+            self.index.add(runner)
+        runner.listed = listed
 
     def forget(self, runner: Runner) -> None:
         """A process that restarted or goes holds nothing that was held before."""
-        for model in self.models:
-            if runner in model.copies:
-                copy = model.copies[runner]
-                copy.held = copy.stands = False
+        for copy in runner.copies.values():
+            copy.held = copy.stands = False
         runner.silent = runner.waiting = 0
         runner.heard = self.now
 
@@ -233,46 +233,55 @@
         born = last = self.now
         while True:
             # one just born holds nothing: its first periods are short, that its copies may double soon
-            yield io.Wait(self.now + min(self.period, max(FIRST_PERIOD, self.now - born)))
-            span, last = self.now - last, self.now
-            rate = self.satisfied * SECOND / span
+            period = SLICE if self.unchecked else min(self.period, max(FIRST_PERIOD, self.now - born))
+            yield io.Wait(self.now + period)
+            if self.unchecked:
+                yield from self.check_some()
+                continue
+            self.span, last = self.now - last, self.now
+            rate = self.satisfied * SECOND / self.span
             self.rate = (self.rate + rate) / 2 if self.rate else rate
             self.best = max(self.rate, FADING * self.best)
             self.satisfied = 0
-            asked = sum(m.counts[1] for m in self.models) * SECOND / span
+            asked = sum(m.counts[1] for m in self.models) * SECOND / self.span
             self.asked = (self.asked + asked) / 2 if self.asked else asked
             # one that carries far more than its part must not take itself for the mean of many
             peers = self.settings.quota / max(self.asked, 1e-9)
             self.peers = max(1.0, peers) if 4 * peers < self.settings.front_ends else self.settings.front_ends
             for customer, tasks in self.served.items():
-                self.rates[customer] = (self.rates.get(customer, 0.0) + tasks * SECOND / span) / 2
+                self.rates[customer] = (self.rates.get(customer, 0.0) + tasks * SECOND / self.span) / 2
                 self.served[customer] = 0
-            for runner in self.runners:
-                if runner.ratio.total > NEWS:
-                    runner.ratio.halve()
-            self.tidy()
-            models = sorted(self.models, key=lambda m: (-m.counts[1], m.facts.mark))
-            for model in models:
-                model.seen += model.counts[1]
-                model.span += span
-                model.counts, model.added, model.second = [0, 0], 0, self.now
-                if model.copies:
-                    yield from self.check(model, model.seen, model.span)
-                if model.seen > ENOUGH or model.span > LONG * self.period:
-                    model.seen, model.span = model.seen / 2, model.span // 2
-
-    def tidy(self) -> None:
+            for runner in [r for r in self.paced if r.ratio.total > NEWS]:
+                runner.ratio.halve()
+            self.paced = {r: None for r in self.paced if r.ratio.total > NEWS}
+            self.unchecked.extend(sorted(self.models, key=lambda m: (-m.counts[1], m.facts.mark)))
+            yield from self.check_some()
+
+    def check_some(self) -> io.Steps:
+        """Of many models, some at once: a check of all would hold up the requests that come meanwhile."""
+        for _ in range(min(CHECKED, len(self.unchecked))):
+            model = self.unchecked.popleft()
+            self.tidy(model)
+            model.seen += model.counts[1]
+            model.span += self.span
+            model.counts, model.added, model.second = [0, 0], 0, self.now
+            if model.copies:
+                yield from self.check(model, model.seen, model.span)
+            if model.seen > ENOUGH or model.span > LONG * self.period:
+                model.seen, model.span = model.seen / 2, model.span // 2
+
+    def tidy(self, model: Model) -> None:
         """Runners that are gone and models that nobody asks for come without end. A model comes back into the
         checks by its next task."""
-        for model in list(self.models):
-            gone = [r for r, c in model.copies.items() if not r.listed and not c.out and not c.ordered]
-            for runner in gone:
-                del model.copies[runner]
-            if model.home is not None and not model.home.listed:
-                model.home = None
-            used = any(c.held or c.out or c.ordered or self.warm(c) for c in model.copies.values())
-            if model.seen < FADED and not model.counts[1] and model.tasks and not used:
-                del self.models[model]
+        used = {r for r, c in model.copies.items() if c.held or c.out or c.ordered or self.warm(c)}
+        faded = model.seen < FADED and not model.counts[1] and model.tasks and not used
+        for runner in [r for r in model.copies if r not in used]:
+            if faded or not runner.listed or len(model.copies) > KEPT:
+                del model.copies[runner], runner.copies[model]
+        if model.home is not None and (model.home not in model.copies or not model.home.listed):
+            model.home = None
+        if faded:
+            del self.models[model]
 
     def check(self, model: Model, seen: float, span: int) -> io.Steps:
         """R is this rate times the front ends, which multiplies chance too: by one deviation of the count,
@@ -297,8 +306,9 @@
             held.append(copy)
             model.added += 1
         if not model.added and need * (1 + chance) < LOW * most and len(held) > 1:
-            order = self.shared_order(model)
-            weakest = min(held, key=lambda c: (self.capacity(c), -order.index(c.runner)))
+            order = list(self.shared_order(model, len(held)))
+            places = {runner: place for place, runner in enumerate(order)}
+            weakest = min(held, key=lambda c: (self.capacity(c), -places.get(c.runner, len(order))))
             if need <= HIGH * (most - self.capacity(weakest)):
                 weakest.held = False
                 held.remove(weakest)
@@ -324,7 +334,7 @@
     def worth_holding(self, model: Model) -> float:
         """How long a copy may stand idle for one task before its memory costs more than a miss does."""
         s = self.settings
-        memory = self.memory / max(model.facts.memory, 1.0)
+        memory = self.index.memory / max(model.facts.memory, 1.0)
         tasks = max(self.rate, 1.0) * self.peers / SECOND
         missed = 1 - s.late_revenue + s.fetch_price
         return missed * memory / (s.memory_price * tasks) if s.memory_price else math.inf
@@ -343,27 +353,23 @@
     def fair(self, runner: Runner) -> float:
         """A runner's part of all tasks: no copy counts for more, since lanes are often more than cores."""
         rate = self.rate or math.inf  # a dispatcher just born must not take all copies for weak and load more
-        return rate * self.peers * runner.part
+        return rate * self.peers * self.part(runner)
 
     def run_latency(self, latency: Histogram) -> int:
         return latency.mean() if self.settings.tells_warm else latency.quantile(0.25)
 
-    def shared_order(self, model: Model) -> list[Runner]:
-        if model.order_made != self.roster_version:
-            model.order_made = self.roster_version
+    def part(self, runner: Runner) -> float:
+        """Of all that the listed runners can do."""
+        return runner.facts.weight / (self.index.weight or 1.0)
 
-            def draw(runner: Runner) -> float:
-                mixed = crc32(b"%d %d" % (model.facts.mark, runner.facts.mark))
-                return -math.log((mixed + 1) / 2**32) / max(runner.facts.weight, 1e-9)
-
-            model.order = sorted(self.runners, key=draw)
-        return model.order
+    def shared_order(self, model: Model, replicas: int) -> Iterator[Runner]:
+        return model.ranking.candidates(self.index, replicas)
 
     def next_place(self, model: Model) -> Runner | None:
         """The least loaded of the next few in the shared order: a few dispatchers see alike and choose alike,
         of many each sees little, so that only the plain next one brings their copies together."""
         free: list[Runner] = []
-        for runner in self.shared_order(model):
+        for runner in self.shared_order(model, len(model.copies)):
             copy = model.copies.get(runner)
             if len(free) >= max(1, CHOICES // self.settings.front_ends):
                 break
@@ -412,9 +418,7 @@
         new = not copy.stands
         copy.stands = result in (io.Result.SATISFIED, io.Result.FULL, io.Result.ERROR) and copies > 0
         if copy.stands and new and self.pick() * sum(c.held for c in copy.model.copies.values()) < 1:
-            copy.model.home = (
-                copy.runner
-            )  # else the dispatchers that hold the same copies all stick to the first
+            copy.model.home = copy.runner  # else all that hold the same copies stick to the first
         if result in (io.Result.SATISFIED, io.Result.FULL, io.Result.ERROR):
             self.alive(order.runner)
         if not copy.stands:
@@ -456,7 +460,7 @@
         """
         s = self.settings
         share = s.cold_from + (1 - s.cold_from) * (self.now - runner.facts.since) / max(s.cold, 1)
-        rate = s.fall_multiple * share * self.best * runner.part
+        rate = s.fall_multiple * share * self.best * self.part(runner)
         return int(SECOND / max(rate, 1e-3))
 
     def room(self, runner: Runner, spare: bool) -> bool:
@@ -485,7 +489,7 @@
         if holders:
             two = [holders[int(self.pick() * len(holders))] for _ in range(2)]
             return min(two, key=lambda c: self.busy(c.runner)).runner
-        for runner in self.shared_order(model):
+        for runner in self.shared_order(model, len(known)):
             if known and not self.cold(runner):
                 continue  # a load would push out what others need; one just started holds nothing yet
             if runner not in but and self.fit(task, runner):
@@ -529,9 +533,8 @@
         offering = task.offering
         if not ran or offering.effect is io.Effect.IDEMPOTENT:
             return True
-        if offering.effect is io.Effect.UNREPEATABLE:
-            return False
-        if self.now + 4 * self.settings.tick >= ran[0].sent + offering.window:
+        late = self.now + 4 * self.settings.tick >= ran[0].sent + offering.window
+        if late or offering.effect is io.Effect.UNREPEATABLE:
             return False
         a, b = ran[0].runner.facts, runner.facts
         if offering.group is io.Group.ALL:
@@ -539,11 +542,10 @@
         return a.zone == b.zone if offering.group is io.Group.ZONE else (a.zone, a.cell) == (b.zone, b.cell)
 
     def may_turn_back(self, task: io.Task) -> bool:
-        if task.offering.effect is io.Effect.IDEMPOTENT:
-            return True
-        if all(h.result in io.NEVER_RAN for h in task.hand_offs):
+        effect, never_ran = task.offering.effect, all(h.result in io.NEVER_RAN for h in task.hand_offs)
+        if never_ran or effect is io.Effect.IDEMPOTENT:
             return True
-        return task.offering.effect is io.Effect.DEDUPLICATED and task.offering.group is io.Group.ALL
+        return effect is io.Effect.DEDUPLICATED and task.offering.group is io.Group.ALL
 
     # -- a task from end to end
 
@@ -592,9 +594,7 @@
         may end: a runner goes on with most of what is called off, and would be taken for free meanwhile."""
         if left:
             if task.hand_offs and task.hand_offs[0].sent in self.taken:
-                self.taken.remove(
-                    task.hand_offs[0].sent
-                )  # sent and taken back, tasks make no room for orders
+                self.taken.remove(task.hand_offs[0].sent)  # taken back: no room for orders
             return []
         return [io.CallOff(h) for h in task.hand_offs if h.result is None and self.settings.call_off]
 
@@ -615,8 +615,7 @@
         if self.now - model.second > SECOND:
             model.counts[0], model.second = 0, self.now
         if not task.spare:
-            model.counts[0] += 1
-            model.counts[1] += 1
+            model.counts = [n + 1 for n in model.counts]
         sure = model.counts[0] - 2 * math.sqrt(model.counts[0])  # above Rmax by more than chance
         if model.tasks > 1 and (not model.most or sure * self.peers > model.most):
             yield from self.check(model, model.counts[0], SECOND)
@@ -648,7 +647,7 @@
 
     def copy(self, model: Model, runner: Runner) -> Copy:
         if runner not in model.copies:
-            model.copies[runner] = Copy(runner, model)
+            model.copies[runner] = runner.copies[model] = Copy(runner, model)
         return model.copies[runner]
 
     # -- what answers teach
@@ -682,6 +681,7 @@
                     usual = int(usual * task.cost / model.cost)
                 if usual:
                     runner.ratio.add(PAR * lag // usual)
+                    self.paced[runner] = None
                 if lag > 2 * usual and model.home is runner:
                     model.home = None  # of many dispatchers, each moves on by what it meets itself
                 for latency in (copy.latency, model.latency, self.latency):
--- a/martenlead/capture/checkpoint.py
+++ b/martenlead/capture/checkpoint.py
@@ -26,7 +26,7 @@
 import zstandard
 
 from martenlead import brain as module
-from martenlead import interface
+from martenlead import candidates, interface
 from martenlead.brain import Brain
 from martenlead.capture.events import Input, Start
 from martenlead.capture.format import BadCapture
@@ -68,7 +68,7 @@
         _line_of(Brain.task, "io.Wait(min(last + s.tick, self.now + slow))"): "latest",
         _line_of(Brain.task, "answer = yield io.Wait(last + s.tick)"): "all",
         _line_of(Brain.checks, "io.Wait(self.now + int(self.pick() * FIRST_PERIOD))"): "first",
-        _line_of(Brain.checks, "io.Wait(self.now + min(self.period"): "period",
+        _line_of(Brain.checks, "io.Wait(self.now + period)"): "period",
     }
 
 
@@ -151,7 +151,7 @@
     next(steps)
     if told["stand"] == "first":
         return steps
-    brain.models, brain.runners, brain.served = {}, [], {}
+    brain.models, brain.paced, brain.served, brain.unchecked = {}, {}, {}, deque()
     brain.now = told["born"]
     steps.send(None)
     if told["last"] != told["born"]:
@@ -193,7 +193,7 @@
     def find_class(self, name: str, what: str) -> Any:
         if (name, what) in ALLOWED:
             return ALLOWED[name, what]
-        for known in (module, interface):
+        for known in (module, candidates, interface):
             found = getattr(known, what, None)
             if name == known.__name__ and isinstance(found, type) and found.__module__ == name:
                 return found
--- a/martenlead/capture/tape.py
+++ b/martenlead/capture/tape.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from martenlead import brain
+from martenlead import brain, candidates
 from martenlead.capture import events as ev
 from martenlead.interface import (
     Action,
@@ -36,7 +36,8 @@
 
 
 def module_hash() -> str:
-    return hashlib.sha256(inspect.getsource(brain).encode()).hexdigest()[:16]
+    source = inspect.getsource(brain) + inspect.getsource(candidates)
+    return hashlib.sha256(source.encode()).hexdigest()[:16]
 
 
 class Tape:
--- a/martenlead/emulator/policies.py
+++ b/martenlead/emulator/policies.py
@@ -10,13 +10,15 @@
 import re
 import subprocess
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from inspect import signature
 from pathlib import Path
 from types import ModuleType
 from typing import TYPE_CHECKING, Any
 
 from martenlead import interface as io
 from martenlead.brain import Brain, Runner
+from martenlead.candidates import RANKED_WHOLE
 
 if TYPE_CHECKING:
     from martenlead.emulator.fleet import Fleet
@@ -28,26 +30,32 @@
 def alike(policy: type[Brain]) -> type[Brain]:
     """The same decisions, with less work where many dispatchers are in one process: the shared order of a
     model's runners follows from its mark and the roster alone, so whoever needs it first sorts it for all."""
+    if "replicas" not in signature(policy.shared_order).parameters:
+        return policy  # an earlier text, which ranks for itself
     orders: dict[tuple[int, int], list[int]] = {}
     rosters: dict[tuple[tuple[int, float], ...], int] = {}
 
     class Alike(policy):  # type: ignore[misc, valid-type]
-        roster_seen = -1
+        ranked_version = -1
         roster_number = -1
 
-        def shared_order(self, model: Any) -> list[Any]:
-            if model.order_made != self.roster_version:
-                if self.roster_seen != self.roster_version:
-                    facts = tuple((r.facts.mark, r.facts.weight) for r in self.runners)
-                    self.roster_number = rosters.setdefault(facts, len(rosters))
-                    self.by_mark = {r.facts.mark: r for r in self.runners}
-                    self.roster_seen = self.roster_version
-                key = model.facts.mark, self.roster_number
-                if key not in orders:
-                    orders[key] = [r.facts.mark for r in super().shared_order(model)]
-                model.order_made = self.roster_version
-                model.order = [self.by_mark[mark] for mark in orders[key]]
-            order: list[Any] = model.order
+        def ranked(self, model: Any) -> list[Any]:
+            index = self.index
+            if self.ranked_version != index.version:
+                facts = tuple((r.facts.mark, r.facts.weight) for r in self.runners)
+                self.roster_number = rosters.setdefault(facts, len(rosters))
+                self.by_mark = {r.facts.mark: r for r in self.runners}
+                self.ranked_version = index.version
+            key = model.facts.mark, self.roster_number
+            if key not in orders:
+                orders[key] = [r.facts.mark for r in index.ranked(model.facts.mark)]
+            return [self.by_mark[mark] for mark in orders[key]]
+
+        def shared_order(self, model: Any, replicas: int) -> Iterator[Any]:
+            ranking = model.ranking
+            if len(self.runners) <= RANKED_WHOLE and ranking.version != self.index.version:
+                ranking.found, ranking.version = self.ranked(model), self.index.version
+            order: Iterator[Any] = super().shared_order(model, replicas)
             return order
 
     return Alike
@@ -58,6 +66,10 @@
         super().__init__(settings, seed)
         settings.orders = False
 
+    def ranked(self, model: Any) -> list[Any]:
+        """All runners, the model's first choice first."""
+        return self.index.ranked(model.facts.mark)
+
     def may(self, task: io.Task, runner: Runner, but: set[Runner]) -> bool:
         """What the rules let it have. Widths are the module's own decision, except at a cold runner."""
         return (
@@ -110,7 +122,7 @@
     def place(self, task: io.Task, but: set[Runner]) -> Runner | None:
         out = sum(r.out for r in self.runners) + 1
         bound = BOUND * out / max(1, len(self.runners))
-        order = self.shared_order(task.model)
+        order: list[Runner] = self.ranked(task.model)
         for runner in order:
             if runner.out + 1 <= max(1.0, bound) and self.may(task, runner, but):
                 return runner
