--- /dev/null
+++ b/tests/test_late_connections.py
@@ -0,0 +1,90 @@
+"""Connections to workers that come up after their time limit, or never.
+
+The kernel completes a handshake by itself as long as the listener's accept queue has room. With the queue
+full it drops the handshake, and the client's connect hangs as it does on a lost packet.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+from contextlib import closing, contextmanager, suppress
+from pathlib import Path
+
+import anyio
+import pytest
+
+from tests.fleet import until
+from tests.nodes import done, play, record
+
+pytestmark = pytest.mark.anyio
+
+CONNECT_TIMEOUT = 0.25  # s, of tests/nodes.py
+QUEUE_FILLERS = 4  # connections; a backlog of 0 holds one
+SYN_RETRANSMISSION = 1.0  # s, the kernel's first
+WORKER = "s-00000063"
+
+
+@contextmanager
+def unreachable_listener() -> Iterator[socket.socket]:
+    """A listener whose accept queue is full, so that no new connection comes up."""
+    with closing(socket.socket()) as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        fillers = [socket.socket() for _ in range(QUEUE_FILLERS)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        yield listener
+        for filler in fillers:
+            filler.close()
+
+
+async def bytes_received(listener: socket.socket, seconds: float) -> bytes:
+    """Accepts all that comes for so long, and reads it."""
+    listener.setblocking(False)
+    accepted: list[socket.socket] = []
+    received = b""
+    with anyio.move_on_after(seconds):
+        while True:
+            with suppress(BlockingIOError):
+                accepted.append(listener.accept()[0])
+                accepted[-1].setblocking(False)
+            for connection in accepted:
+                with suppress(OSError):
+                    received += connection.recv(65_536)
+            await anyio.sleep(0.01)
+    for connection in accepted:
+        connection.close()
+    return received
+
+
+async def test_a_connection_that_never_comes_up_proves_that_nothing_ran(tmp_path: Path) -> None:
+    """A non-idempotent request goes to another worker, once, well within its time."""
+    with unreachable_listener() as listener:
+        async with play(tmp_path, {"a": [done]}) as p:
+            await until(lambda: p.journal.streams)
+            await p.journal.tell(record(ord("c"), listener.getsockname()[1]))
+            await until(lambda: WORKER in p.node.dispatcher.boxes)
+            client = await p.client()
+            dispatcher = p.node.dispatcher
+            started = anyio.current_time()
+            sent = 0
+            while not dispatcher.counts["hand-off", "unreached"]:
+                sent += 1
+                assert await client.call("unsafe", key=f"{sent:016x}", wait=1900) == "satisfied"
+            assert CONNECT_TIMEOUT <= anyio.current_time() - started < 1.9
+            assert len(p.did()) == sent
+
+
+async def test_a_connection_that_comes_up_after_its_limit_gets_nothing(tmp_path: Path) -> None:
+    """The request was told as never sent by then."""
+    with unreachable_listener() as listener:
+        async with play(tmp_path, {"a": [done]}) as p:
+            await until(lambda: p.journal.streams)
+            await p.journal.tell(p.record("a", state=1), record(ord("c"), listener.getsockname()[1]))
+            await until(lambda: WORKER in p.node.dispatcher.boxes)
+            client = await p.client()
+            assert await client.call("unsafe", wait=1900) == "turned back"
+            assert await bytes_received(listener, SYN_RETRANSMISSION + 0.3) == b""
+            assert p.did() == []
--- /dev/null
+++ b/tests/test_platform_limits.py
@@ -0,0 +1,114 @@
+"""The dispatcher as the deploy file starts it, with the system calls refused that the platform refuses."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import sys
+import tomllib
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+from anyio.abc import Process, SocketAttribute
+
+from tests.fleet import until
+from tests.nodes import Play, done, message
+
+pytestmark = pytest.mark.anyio
+
+ROOT = Path(__file__).parent.parent
+FILTER = [sys.executable, "-m", "tests.syscall_filter"]
+DEPLOYED_PYTHON = ".venv/bin/python"
+
+
+def run_command() -> str:
+    """`run` of the deploy file, by the interpreter that runs the tests."""
+    told = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    assert DEPLOYED_PYTHON in told["run"]
+    return str(told["run"]).replace(DEPLOYED_PYTHON, sys.executable)
+
+
+@asynccontextmanager
+async def dispatcher(tmp_path: Path) -> AsyncIterator[tuple[Play, Process]]:
+    """One process of the program under the filter, with a worker and a journal service."""
+    p = Play()
+    p.path = tmp_path / "config.json"
+    async with anyio.create_task_group() as p.group:
+        await p.runner("a", done)
+        p.group.start_soon(p.journal.serve)
+        await until(lambda: p.journal.port)
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        p.port = listener.extra(SocketAttribute.local_port)
+        await listener.aclose()
+        p.write(p.journal.port)
+        environment = {**os.environ, "ROUTER_CONFIG": str(p.path)}
+        async with await anyio.open_process([*FILTER, run_command()], cwd=ROOT, env=environment) as process:
+            try:
+                yield p, process
+            finally:
+                if process.returncode is None:
+                    process.kill()
+        p.group.cancel_scope.cancel()
+
+
+async def logged(process: Process, event: str) -> None:
+    """Reads the program's log up to that event."""
+    assert process.stderr is not None
+    log = b""
+    with anyio.fail_after(20):
+        while f'"event": "{event}"'.encode() not in log:
+            log += await process.stderr.receive()
+
+
+def processes_below(pid: int) -> list[str]:
+    children = Path(f"/proc/{pid}/task/{pid}/children")
+    return children.read_text().split()
+
+
+async def test_the_filter_refuses_other_programs_and_processes() -> None:
+    probe = "import os\ntry:\n os.fork()\nexcept OSError as error:\n print(error.errno)"
+    process = await anyio.run_process([*FILTER, f"exec {sys.executable} -c '{probe}'"], cwd=ROOT)
+    assert int(process.stdout) == 38  # ENOSYS
+
+
+async def test_served_from_start_to_end_with_these_system_calls_refused(tmp_path: Path) -> None:
+    async with dispatcher(tmp_path) as (p, process):
+        await logged(process, "serves")
+        client = await p.client()
+        await client.send(message({"jsonrpc": "2.0", "id": 1, "method": "ping", "params": {}}))
+        ping: Any = await client.answer()
+        assert ping["result"] == {"up": True}
+        client.number = 1
+        assert [await client.call("unsafe", key=f"{n:016x}") for n in range(20)] == ["satisfied"] * 20
+        process.send_signal(signal.SIGHUP)
+        await logged(process, "the configuration was read again")
+        assert await client.call("unsafe") == "satisfied"
+        # one process, by `exec`, and one thread
+        assert processes_below(process.pid) == []
+        assert len(os.listdir(f"/proc/{process.pid}/task")) == 1
+        process.send_signal(signal.SIGTERM)
+        assert await client.call("unsafe") == "satisfied"
+        with anyio.fail_after(10):
+            assert await process.wait() == 0
+
+
+async def test_it_listens_on_the_given_address_alone_and_over_ipv4(tmp_path: Path) -> None:
+    async with dispatcher(tmp_path) as (p, process):
+        await logged(process, "serves")
+        links = [os.readlink(path) for path in Path(f"/proc/{process.pid}/fd").iterdir()]
+        own = {link[8:-1] for link in links if link.startswith("socket:")}
+        listening = [
+            fields[1]
+            for fields in map(str.split, Path("/proc/net/tcp").read_text().splitlines()[1:])
+            if fields[3] == "0A" and fields[9] in own
+        ]
+        assert listening == [f"0100007F:{p.port:04X}"]
+        for family in ("tcp6", "udp", "udp6"):
+            used = {line.split()[9] for line in Path(f"/proc/net/{family}").read_text().splitlines()[1:]}
+            assert own.isdisjoint(used)
+        assert json.loads(p.path.read_text())["listen"].endswith(str(p.port))
--- /dev/null
+++ b/tests/test_repeat_window.py
@@ -0,0 +1,47 @@
+"""Requests with an idempotency key are repeated only while workers still remember the key."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+
+from tests.nodes import SETTINGS, Part, after, done, play, says
+
+pytestmark = pytest.mark.anyio
+
+WINDOW = 0.3  # s
+KEY = "0" * 32
+fails = says("BROKE", "")
+
+
+def settings(group: str = "all") -> dict[str, Any]:
+    """A short window for the keyed class."""
+    classes = [
+        c | ({"dedup-window": WINDOW, "group": group} if c["name"] == "keyed" else {})
+        for c in SETTINGS["classes"]
+    ]
+    return SETTINGS | {"classes": classes}
+
+
+def noting(arrivals: list[float], parts: list[Part]) -> Part:
+    """Plays the parts in turn, whichever worker is asked, and notes when each request arrived."""
+
+    async def part(runner: Any, stream: Any, told: dict[str, Any]) -> None:
+        arrivals.append(anyio.current_time())
+        await (parts.pop(0) if parts else done)(runner, stream, told)
+
+    return part
+
+
+@pytest.mark.parametrize(("group", "outcome"), [("all", "turned back"), ("zone", "error -32000")])
+async def test_no_repeat_once_the_window_is_over(group: str, outcome: str, tmp_path: Path) -> None:
+    """Where not all workers share the window, the client is not told to try again either."""
+    arrivals: list[float] = []
+    part = noting(arrivals, [after(1000 * WINDOW, fails)])
+    async with play(tmp_path, {"a": [part], "b": [part]}, settings=settings(group)) as p:
+        client = await p.client()
+        assert await client.call("keyed", once=KEY, wait=1900) == outcome
+        assert len(arrivals) == 1
