--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -26,6 +26,7 @@
 SEPARATOR = " | "
 ISSUE_PATTERN = re.compile(r"issue [1-9][0-9]*")
 STATUS = "known red"
+MAX_REASON = 160  # characters
 
 
 @dataclass(frozen=True)
@@ -182,10 +183,10 @@
 
 
 def _reason(call: pytest.CallInfo[None]) -> str:
-    """The first line of the exception of a failed phase."""
+    """The exception of a failed phase, cut to one short line."""
     if call.excinfo is None:
         return "no exception"
-    return call.excinfo.exconly(tryshort=True).partition("\n")[0]
+    return call.excinfo.exconly(tryshort=True).partition("\n")[0][:MAX_REASON]
 
 
 def _excuse(report: pytest.TestReport, entry: KnownRed) -> None:
