Policy: functions known have a bound, and on long lists a full holder is no end of the search

Cause: (1) the dispatcher forgets the oldest function beyond its bound and the policy kept it for some forty seconds: 3,300 requests a second for ever new names took a process with 64 MB from 34 to 122 MB in 26 s (tests/test_function_bound.py). (2) With hundreds of dispatchers each may have a small part of one request open at a worker; 200 cold dispatchers rejected most of what they turned away because that part was used up at the one or two holders they knew, as counted by reason in a probe. Change: (1) the policy drops the function longest without a request at the bound, with what it knew of its replicas. (2) With over 256 workers a request goes on along its candidates; short lists decide as before. A repeat's last moment to begin is decided with the attempt (`begin_by`); the links that obey it follow.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 from martenlead import interface as io
-from martenlead.candidates import CandidateIndex, Ranking
+from martenlead.candidates import RANKED_WHOLE, CandidateIndex, Ranking
 
 MS = 1_000_000
 SECOND = 1000 * MS
@@ -41,6 +41,8 @@
 GROWTH = 0.4  # of the ration is for new copies: renewals need the rest, and the store its peace
 SPARE = 0.3  # of a runner's width is kept from repeated tasks and those over their customer's share
 FAILED = frozenset({io.Result.ERROR, io.Result.BROKEN})  # the runner's fault, or else the task's
+UNHEARD = frozenset({io.Result.UNREACHED, io.Result.BROKEN})
+HEARD = frozenset({io.Result.SATISFIED, io.Result.ERROR, io.Result.FULL, io.Result.MISSING})
 BAD_TASK = 2  # runners where it ended in an error: it would at the others too
 APART = 20 * MS  # errors that come closer than that at a runner are one
 FAILING = 0.4  # of a runner's last answers for an offering: from there on it gets trials only
@@ -109,8 +111,7 @@
         self.listed = False
         self.copies: dict[Model, Copy] = {}
         self.out = self.running = 0  # hand-offs, and those of them that should have met a copy
-        self.credit = 1.0
-        self.width = width
+        self.width, self.credit = width, 1.0
         self.fulls = self.silent = 0  # turned away, or unanswered, in a row
         self.late = 0.0  # part of the last answers that came late
         self.failed: dict[io.Offering, float] = {}  # part of the last answers that were errors
@@ -127,19 +128,17 @@
         self.latency = Histogram()
         self.home: Runner | None = None
         self.ranking = Ranking(facts.mark)
-        self.second = now
+        self.second = self.first = now
         self.counts = [0, 0]  # tasks of this second, this period
         self.seen = self.cost = self.most = 0.0  # tasks within span; mean of the hints; Rmax
         self.span = 0
-        self.first = now
         self.last = self.tasks = self.added = 0
 
 
 class Brain:
     def __init__(self, settings: io.Settings, seed: int) -> None:
         self.settings = settings
-        chance = Random(seed)
-        self.pick = chance.random
+        self.pick = Random(seed).random
         self.now = 0
         self.index = CandidateIndex()
         self.runners: list[Runner] = self.index.workers
@@ -165,9 +164,19 @@
 
     def model(self, facts: io.ModelFacts) -> Model:
         model = Model(facts, self.now)
+        if len(self.models) >= self.settings.functions:
+            idle = (m for m in self.models if not any(c.out or c.ordered for c in m.copies.values()))
+            self.drop(next(idle, model))
         self.models[model] = None
         return model
 
+    def drop(self, model: Model) -> None:
+        """Forgets a model, and what is known of its copies. It comes back by its next task."""
+        for runner in model.copies:
+            del runner.copies[model]
+        model.copies, model.home = {}, None
+        self.models.pop(model, None)
+
     def roster(self, news: Iterable[tuple[Any, io.RunnerFacts]], whole: bool) -> None:
         told: dict[Runner, None] = {}
         for runner, facts in news:
@@ -271,17 +280,15 @@
                 model.seen, model.span = model.seen / 2, model.span // 2
 
     def tidy(self, model: Model) -> None:
-        """Runners that are gone and models that nobody asks for come without end. A model comes back into the
-        checks by its next task."""
+        """Runners that are gone and models that nobody asks for come without end."""
         used = {r for r, c in model.copies.items() if c.held or c.out or c.ordered or self.warm(c)}
-        faded = model.seen < FADED and not model.counts[1] and model.tasks and not used
         for runner in [r for r in model.copies if r not in used]:
-            if faded or not runner.listed or len(model.copies) > KEPT:
+            if not runner.listed or len(model.copies) > KEPT:
                 del model.copies[runner], runner.copies[model]
         if model.home is not None and (model.home not in model.copies or not model.home.listed):
             model.home = None
-        if faded:
-            del self.models[model]
+        if model.seen < FADED and not model.counts[1] and model.tasks and not used:
+            self.drop(model)
 
     def check(self, model: Model, seen: float, span: int) -> io.Steps:
         """R is this rate times the front ends, which multiplies chance too: by one deviation of the count,
@@ -306,9 +313,8 @@
             held.append(copy)
             model.added += 1
         if not model.added and need * (1 + chance) < LOW * most and len(held) > 1:
-            order = list(self.shared_order(model, len(held)))
-            places = {runner: place for place, runner in enumerate(order)}
-            weakest = min(held, key=lambda c: (self.capacity(c), -places.get(c.runner, len(order))))
+            rank = {runner: place for place, runner in enumerate(self.shared_order(model, len(held)))}
+            weakest = min(held, key=lambda c: (self.capacity(c), -rank.get(c.runner, len(rank))))
             if need <= HIGH * (most - self.capacity(weakest)):
                 weakest.held = False
                 held.remove(weakest)
@@ -344,8 +350,7 @@
             return 0.0  # a runner that turns tasks away meets no soft limit: copies grow elsewhere
         own, all_copies = copy.latency, copy.model.latency
         lag = self.run_latency(own if own.total >= 3 else all_copies)
-        if not lag:
-            lag = self.run_latency(self.latency) or self.soft // 4
+        lag = lag or self.run_latency(self.latency) or self.soft // 4
         if lag > max(self.soft, 1.5 * self.run_latency(all_copies)):
             return 0.0
         return min(copy.model.facts.lanes * SECOND / lag, max(1.0, FAIR * self.fair(copy.runner)))
@@ -393,10 +398,8 @@
         """The ration, counted with a tick to spare on both sides, and the drain rule for orders. It counts an
         order as it arrives, against the tasks before that, and a new connection may take its time."""
         s = self.settings
-        if not self.may_go(runner):
-            return False
         if not s.ration_window:
-            return True
+            return self.may_go(runner)
         since = self.now - s.ration_window
         while self.orders and self.orders[0] < since - 2 * s.tick:
             self.orders.popleft()
@@ -405,7 +408,7 @@
         while self.taken and self.taken[0] < since + s.reach + 2 * s.tick:
             self.taken.popleft()
         given = len(self.orders) + sum(at < since - 2 * s.tick for at in self.going.values())
-        return given + 1 <= part * (s.ration_free + s.ration_share * len(self.taken))
+        return self.may_go(runner) and given + 1 <= part * (s.ration_free + s.ration_share * len(self.taken))
 
     def ordered(self, order: io.Order, result: io.Result, copies: int) -> None:
         given = self.going.pop(order, None)
@@ -452,12 +455,9 @@
         return bool(runner.facts.since) and self.now - runner.facts.since < self.settings.cold
 
     def cold_gap(self, runner: Runner) -> int:
-        """Time between tasks to a cold runner: this dispatcher's own part of what it stands.
-
-        The satisfied tasks of all dispatchers, a runner, are no more than a warm runner can do; each
-        dispatcher counts its own only, so uneven traffic keeps the sum. The best that was seen counts: a
-        release lowers what is satisfied, and not what a runner can do.
-        """
+        """Time between tasks to a cold runner: this dispatcher's own part of what it stands. The satisfied
+        tasks of all dispatchers, a runner, are no more than a warm one can do; each counts its own, so uneven
+        traffic keeps the sum. The best seen counts: a release lowers what is satisfied, not what it does."""
         s = self.settings
         share = s.cold_from + (1 - s.cold_from) * (self.now - runner.facts.since) / max(s.cold, 1)
         rate = s.fall_multiple * share * self.best * self.part(runner)
@@ -468,17 +468,15 @@
             # a first task at once from each of many dispatchers would be the push that the rule forbids
             runner.next = self.now + int(self.pick() * self.cold_gap(runner))
         width = runner.width * (SPARE if spare else 1.0)
-        if spare and width * self.settings.front_ends < LEAST_WIDTH:
-            return False
-        return self.now >= runner.next and runner.running < max(1.0, width)
+        narrow = spare and width * self.settings.front_ends < LEAST_WIDTH
+        return not narrow and self.now >= runner.next and runner.running < max(1.0, width)
 
     def place(self, task: io.Task, but: set[Runner]) -> Runner | None:
         """Where last seen warm; else the less busy of two random holders; else next in the shared order."""
         model: Model = task.model
         known = [c for c in model.copies.values() if (self.warm(c) or c.ordered) and self.usable(c.runner)]
-        known = [c for c in known if not self.fails(c.runner, task.offering)]
-        wrong = [h.runner for h in task.hand_offs if h.result is io.Result.ERROR]
-        known = [c for c in known if c.runner not in wrong]  # it did not lack room there: elsewhere it may go
+        wrong = [h.runner for h in task.hand_offs if h.result is io.Result.ERROR]  # not for lack of room
+        known = [c for c in known if c.runner not in wrong and not self.fails(c.runner, task.offering)]
         fits = [c for c in known if c.runner not in but and self.fit(task, c.runner)]
         warm = [c for c in fits if self.warm(c)]
         warm = [c for c in warm if c.held] or warm  # what no order holds may lapse
@@ -489,8 +487,9 @@
         if holders:
             two = [holders[int(self.pick() * len(holders))] for _ in range(2)]
             return min(two, key=lambda c: self.busy(c.runner)).runner
+        few = len(self.runners) <= RANKED_WHOLE
         for runner in self.shared_order(model, len(known)):
-            if known and not self.cold(runner):
+            if known and few and not self.cold(runner):
                 continue  # a load would push out what others need; one just started holds nothing yet
             if runner not in but and self.fit(task, runner):
                 return runner
@@ -533,14 +532,20 @@
         offering = task.offering
         if not ran or offering.effect is io.Effect.IDEMPOTENT:
             return True
-        late = self.now + 4 * self.settings.tick >= ran[0].sent + offering.window
-        if late or offering.effect is io.Effect.UNREPEATABLE:
+        if self.now >= self.begin_by(task) or offering.effect is io.Effect.UNREPEATABLE:
             return False
         a, b = ran[0].runner.facts, runner.facts
         if offering.group is io.Group.ALL:
             return True
         return a.zone == b.zone if offering.group is io.Group.ZONE else (a.zone, a.cell) == (b.zone, b.cell)
 
+    def begin_by(self, task: io.Task) -> int:
+        """A repeat of what may have run is dropped as one inside its window only."""
+        first = next((h for h in task.hand_offs if h.result not in io.NEVER_RAN), None)
+        if first is None or task.offering.effect is io.Effect.IDEMPOTENT:
+            return task.give_up
+        return first.sent + task.offering.window - 4 * self.settings.tick
+
     def may_turn_back(self, task: io.Task) -> bool:
         effect, never_ran = task.offering.effect, all(h.result in io.NEVER_RAN for h in task.hand_offs)
         if never_ran or effect is io.Effect.IDEMPOTENT:
@@ -575,7 +580,8 @@
                 answer = yield io.Wait(min(last + s.tick, self.now + slow))
                 if answer is not None and answer.final:
                     return
-                if answer is None and self.gone_quiet(hand_off) and len(task.hand_offs) < s.hand_offs:
+                gone_quiet = hand_off.expected and hand_off.runner.heard < hand_off.sent
+                if answer is None and gone_quiet and len(task.hand_offs) < s.hand_offs:
                     if s.twice_out:
                         break
                     if s.call_off:
@@ -604,7 +610,8 @@
         self.taken.append(self.now)
         if not s.ration_window and len(self.taken) > 1:
             self.taken.popleft()
-        self.models[model] = None
+        self.models.pop(model, None)
+        self.models[model] = None  # the last asked for stands last
         model.tasks += 1
         model.cost += (task.cost - model.cost) / min(model.tasks, 60)
         model.last = self.now
@@ -630,7 +637,8 @@
             runner.next = self.now + self.cold_gap(runner)
         elif runner.width < 1:  # of many dispatchers, less than one task each: one at times
             runner.next = self.now + int((1 / runner.width - 1) * self.run_latency(self.latency))
-        hand_off = io.HandOff(task, runner, last - self.now, self.now, int(self.warm(copy)))
+        by = self.begin_by(task)
+        hand_off = io.HandOff(task, runner, last - self.now, self.now, int(self.warm(copy)), begin_by=by)
         if not copy.stands and not copy.ordered:
             copy.ordered = self.now
         runner.running += hand_off.expected
@@ -638,9 +646,6 @@
         task.hand_offs.append(hand_off)
         return hand_off
 
-    def gone_quiet(self, hand_off: io.HandOff) -> bool:
-        return hand_off.runner.heard < hand_off.sent and bool(hand_off.expected)
-
     def warm(self, copy: Copy) -> bool:
         """An idle copy may lapse once its keep-alive has passed: belief in it ends there too."""
         return copy.stands and self.now < copy.touched + self.settings.keep
@@ -661,7 +666,7 @@
         runner.running -= hand_off.expected
         self.running -= hand_off.expected
         copy.out -= 1
-        if result in (io.Result.SATISFIED, io.Result.ERROR, io.Result.FULL, io.Result.MISSING):
+        if result in HEARD:
             self.alive(runner)
         if (result is io.Result.SATISFIED or result in FAILED) and answer.warmth is not io.Warmth.LOAD_FAILED:
             self.judge(hand_off, result in FAILED)
@@ -673,8 +678,7 @@
             if model.home is None or not self.warm(model.copies[model.home]):
                 model.home = runner
             copy.touched = max(copy.touched, self.now)
-            copy.ordered = 0
-            copy.stands = True
+            copy.ordered, copy.stands = 0, True
             if warm:
                 usual = self.run_latency(model.latency)
                 if task.cost and model.cost:
@@ -694,14 +698,10 @@
         elif result is io.Result.FULL:
             self.widen(runner, 2 * task.offering.soft_limit, task.offering.soft_limit)
             runner.fulls += 1
-        elif result in (io.Result.UNREACHED, io.Result.BROKEN):
-            runner.silent += 1
-            runner.waiting = self.now
-            if model.home is runner:
+        elif result in UNHEARD or (result is io.Result.SILENT and runner.heard < hand_off.sent):
+            runner.silent, runner.waiting = runner.silent + 1, self.now
+            if model.home is runner and result in UNHEARD:
                 model.home = None
-        elif result is io.Result.SILENT and runner.heard < hand_off.sent:
-            runner.silent += 1
-            runner.waiting = self.now
 
         if result is not io.Result.SATISFIED and not copy.out:
             copy.ordered = 0  # the load that they waited for failed, or never began
--- a/martenlead/edge/dispatcher.py
+++ b/martenlead/edge/dispatcher.py
@@ -221,6 +221,7 @@
     ) -> None:
         self.about, self.link, self.source, self.clock = about, link, source, clock
         told = about.settings
+        told.functions = about.models
         self.offerings, self.customers, self.hard = about.offerings, about.customers, about.hard
         self.tick, self.margin = told.tick, about.margin
         names = list(self.offerings), self.customers
--- a/martenlead/interface.py
+++ b/martenlead/interface.py
@@ -102,6 +102,7 @@
     roster_every: int
     offerings: list[Offering] = field(default_factory=list)
     reach: int = 0  # until a connection to a runner is up, or given up
+    functions: int = 1 << 30  # that may be known at once
 
 
 @dataclass(slots=True)
@@ -147,6 +148,7 @@
     sent: int
     expected: int = 0
     result: Result | None = None
+    begin_by: int = 1 << 62  # the first byte may not leave later: the effect could come twice
 
 
 @dataclass(slots=True, eq=False)
