A keyed repeat begins inside its window on the HTTP link, also after a wait for a connection

Cause: the policy asks the idempotency window as it decides; the request may then wait for its connection until after the window, and run twice. Change: each attempt states until when its first byte may leave (`begin_by`), and the HTTP link asks that as the byte would leave; an attempt withheld is told as never sent.

--- a/martenlead/edge/httplink.py
+++ b/martenlead/edge/httplink.py
@@ -97,7 +97,7 @@
     async def _carry(self, out: Out) -> None:
         """One hand-off from its decision to its end. Whatever happens on the socket, there is exactly one."""
         hand_off, way, clock = out.hand_off, out.box.way, self.dispatcher.clock
-        sending = Sending()
+        sending = Sending(lambda: clock() <= hand_off.begin_by)
         exchange: Exchange | None = None
         left = hand_off.sent + hand_off.patience - clock()
         if left <= 0:
--- a/martenlead/events/client.py
+++ b/martenlead/events/client.py
@@ -9,7 +9,7 @@
 import os
 import select
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from enum import Enum
 from time import monotonic_ns
@@ -29,6 +29,7 @@
     NO_SLOT = "all connections that may be open are busy"
     REFUSED = "the peer refused the connection, or it could not be reached"
     CONNECT_TIMEOUT = "no connection in time; not a byte was sent"
+    WITHHELD = "its time to begin was over before the first byte; the connection ends unused"
     CLOSED = "the connection ended before the first byte of an answer"
     CUT = "the connection ended in the middle of an answer"
     GARBAGE = "what came back is no HTTP/1.1 answer, or is over the limits"
@@ -45,9 +46,11 @@
 class Sending:
     """How far an exchange has come that its caller may cancel."""
 
-    __slots__ = ("wrote",)
+    __slots__ = ("may_begin", "wrote")
 
-    def __init__(self) -> None:
+    def __init__(self, may_begin: Callable[[], bool] = lambda: True) -> None:
+        """`may_begin` is asked as the first byte would leave, after any wait for a connection."""
+        self.may_begin = may_begin
         self.wrote = False  # from here on a byte may have left
 
 
@@ -165,6 +168,8 @@
         begun = False
         try:
             await anyio.lowlevel.checkpoint_if_cancelled()
+            if not sending.may_begin():
+                return Exchange(End.WITHHELD)
             sending.wrote = True
             await stream.send(data)
             while True:
--- a/martenlead/runnerlink/outcomes.py
+++ b/martenlead/runnerlink/outcomes.py
@@ -32,6 +32,7 @@
     End.CONNECT_TIMEOUT: Result.UNREACHED,
     # nothing was written, and it says nothing of the runner: the bound is ours
     End.NO_SLOT: Result.NOT_SENT,
+    End.WITHHELD: Result.NOT_SENT,
     # the request may have been read before the end; also where a pooled connection closed just as it was
     # written
     End.CLOSED: Result.BROKEN,
--- /dev/null
+++ b/tests/test_withheld.py
@@ -0,0 +1,52 @@
+"""An attempt that may not begin any more: the policy states until when, and the HTTP link obeys it."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from martenlead import interface as io
+from martenlead.events.client import End, Pool, Sending
+from martenlead.runnerlink.outcomes import heard
+from tests.play import CHECK, MS, POST, SETTINGS, Play
+
+
+@pytest.mark.anyio
+async def test_nothing_leaves_once_its_time_to_begin_is_over() -> None:
+    """It is asked after the connection has come up, and is told as never sent."""
+    arrived: list[bytes] = []
+    connected = anyio.Event()
+
+    async def note(stream: anyio.abc.SocketStream) -> None:
+        connected.set()
+        async with stream:
+            async for data in stream:
+                arrived.append(data)
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    async with listener, anyio.create_task_group() as group:
+        group.start_soon(listener.serve, note)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        sending = Sending(lambda: False)
+        exchange = await Pool("127.0.0.1", port).exchange(b"POST / HTTP/1.1\r\n\r\n", sending)
+        await connected.wait()
+        await anyio.sleep(0.05)
+        group.cancel_scope.cancel()
+    assert exchange.end is End.WITHHELD and not sending.wrote and not arrived
+    assert heard(exchange).result is io.Result.NOT_SENT
+
+
+@pytest.mark.parametrize("offering", [CHECK, POST])
+def test_a_repeat_of_what_may_have_run_begins_inside_its_window(offering: io.Offering) -> None:
+    play = Play(runners="ab")
+    play.served(12)
+    play.task("t", offering=offering)
+    first = play.hand_offs[0]
+    task, give_up = first.task, first.task.give_up
+    assert first.begin_by == give_up  # nothing may have run before it
+    play.to(play.brain.now // MS + 10)
+    play.answer(io.Result.BROKEN)
+    repeats = play.hand_offs
+    assert len(repeats) == 1 and repeats[0].task is task
+    window_end = first.sent + offering.window - 4 * SETTINGS.tick
+    assert repeats[0].begin_by == (window_end if offering is POST else give_up)
