Cold workers: the slow start holds for the sum of all dispatchers, 2 to 200

At fault in brain.py: cold_gap took the best rate ever seen. One that knew no rate drew it up to 1000 s ahead and left the worker unused, cold or warm.

Tests: the play of cold_best had demand fall, not a release, which its text names.

--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -1,9 +1,8 @@
-"""Every decision of a dispatcher: where a task goes, which copies are held, what is given up.
+"""Every decision of a dispatcher: where a task goes, which copies are held, what is given up; docs/design.md.
 
 Called by engine.py: `background` and `task` give generators that yield what they want done and are resumed
 with what came of it; `heard`, `ordered`, `closed` and `roster` tell what was observed. `runner` and `model`
 make the objects that stand for ids at the door. The types of both directions stand in interface.py.
-docs/design.md tells what is kept of the design and what departs from it.
 """
 
 from __future__ import annotations
@@ -35,14 +34,12 @@
 FADING = 0.99  # a period: what is left of the best rate seen, which has to outlast a release
 NEWS = 4  # answers that tell a runner's pace: where few come, they are kept for longer
 KNOWN = 3.0  # answers that a model's latencies of an earlier life count for at most
+SORTED = 1024  # models up to which those with most tasks are checked first; beyond, the last asked for
 CHECKED, SLICE = 64, MS  # models that are checked at once, and the time until the next of them
 KEPT = 64  # copies of a model; beyond, what is not in use is forgotten
 FADED = 0.01  # tasks of a model that its rate still counts: it is checked no more
 GROWTH = 0.4  # of the ration is for new copies: renewals need the rest, and the store its peace
 SPARE = 0.3  # of a runner's width is kept from repeated tasks and those over their customer's share
-FAILED = frozenset({io.Result.ERROR, io.Result.BROKEN})  # the runner's fault, or else the task's
-UNHEARD = frozenset({io.Result.UNREACHED, io.Result.BROKEN})
-HEARD = frozenset({io.Result.SATISFIED, io.Result.ERROR, io.Result.FULL, io.Result.MISSING})
 BAD_TASK = 2  # runners where it ended in an error: it would at the others too
 APART = 20 * MS  # errors that come closer than that at a runner are one
 FAILING = 0.4  # of a runner's last answers for an offering: from there on it gets trials only
@@ -100,8 +97,8 @@
         self.out = 0
         self.held = False  # by an order of ours, to be renewed
         self.stands = False  # loaded, to our knowledge
-        self.touched = -1 << 62  # last use or order: the idle time runs from here at the earliest
-        self.refused = -1 << 62  # when an order for it failed
+        # last use or order, from which the idle time runs at the earliest; when an order for it failed
+        self.touched = self.refused = -1 << 62
         self.ordered = 0  # the order still out, since when
 
 
@@ -118,6 +115,7 @@
         self.failed_last = -1 << 62
         self.heard = now
         self.widened = self.waiting = self.next = 0  # waiting: since when an answer is overdue
+        self.ramp = 0  # the start that `next` was drawn for
         self.ratio = Histogram()  # of PAR, an answer that took as long as usual
 
 
@@ -142,6 +140,7 @@
         self.now = 0
         self.index = CandidateIndex()
         self.runners: list[Runner] = self.index.workers
+        self.weight = 0.0  # of all workers, the most that was listed lately
         self.models: dict[Model, None] = {}
         self.unchecked: deque[Model] = deque()  # of this period
         self.paced: dict[Runner, None] = {}  # those that answered lately
@@ -151,7 +150,7 @@
         self.going: dict[io.Order, int] = {}  # not ended, since when: they may arrive at any time
         self.rate = self.best = self.asked = 0.0  # a second: satisfied, the best of it, first tried
         self.peers: float = settings.front_ends  # how many like this one carry all tasks
-        self.satisfied = self.running = self.span = 0
+        self.satisfied = self.first_tries = self.running = self.span = 0
         self.served: dict[io.Customer, int] = {}
         self.rates: dict[io.Customer, float] = {}
         self.period = max(SECOND, settings.keep // 4)  # renewals need a few periods within the keep-alive
@@ -222,9 +221,8 @@
                 model.tasks, model.last = 2, self.now - told.idle
                 model.first = model.last - told.gap
         for known in past.runners:
-            runner: Runner = known.runner
             # a runner that was slow then is found slow again; one that is not must not be starved for it
-            runner.width += max(0.0, known.width - runner.width) * known.worth
+            known.runner.width += max(0.0, known.width - known.runner.width) * known.worth
 
     # -- what is asked of the fleet
 
@@ -251,8 +249,9 @@
             rate = self.satisfied * SECOND / self.span
             self.rate = (self.rate + rate) / 2 if self.rate else rate
             self.best = max(self.rate, FADING * self.best)
+            self.weight = max(self.index.weight, FADING * self.weight)
             self.satisfied = 0
-            asked = sum(m.counts[1] for m in self.models) * SECOND / self.span
+            asked, self.first_tries = self.first_tries * SECOND / self.span, 0
             self.asked = (self.asked + asked) / 2 if self.asked else asked
             # one that carries far more than its part must not take itself for the mean of many
             peers = self.settings.quota / max(self.asked, 1e-9)
@@ -263,7 +262,9 @@
             for runner in [r for r in self.paced if r.ratio.total > NEWS]:
                 runner.ratio.halve()
             self.paced = {r: None for r in self.paced if r.ratio.total > NEWS}
-            self.unchecked.extend(sorted(self.models, key=lambda m: (-m.counts[1], m.facts.mark)))
+            self.unchecked.extend(reversed(self.models))
+            if len(self.unchecked) <= SORTED:
+                self.unchecked = deque(sorted(self.models, key=lambda m: (-m.counts[1], m.facts.mark)))
             yield from self.check_some()
 
     def check_some(self) -> io.Steps:
@@ -287,7 +288,7 @@
                 del model.copies[runner], runner.copies[model]
         if model.home is not None and (model.home not in model.copies or not model.home.listed):
             model.home = None
-        if model.seen < FADED and not model.counts[1] and model.tasks and not used:
+        if model.seen < FADED and not model.counts[1] and not used:
             self.drop(model)
 
     def check(self, model: Model, seen: float, span: int) -> io.Steps:
@@ -353,21 +354,14 @@
         lag = lag or self.run_latency(self.latency) or self.soft // 4
         if lag > max(self.soft, 1.5 * self.run_latency(all_copies)):
             return 0.0
-        return min(copy.model.facts.lanes * SECOND / lag, max(1.0, FAIR * self.fair(copy.runner)))
-
-    def fair(self, runner: Runner) -> float:
-        """A runner's part of all tasks: no copy counts for more, since lanes are often more than cores."""
         rate = self.rate or math.inf  # a dispatcher just born must not take all copies for weak and load more
-        return rate * self.peers * self.part(runner)
+        fair = FAIR * rate * self.peers * copy.runner.facts.weight / (self.index.weight or 1.0)
+        return min(copy.model.facts.lanes * SECOND / lag, max(1.0, fair))
 
     def run_latency(self, latency: Histogram) -> int:
         return latency.mean() if self.settings.tells_warm else latency.quantile(0.25)
 
-    def part(self, runner: Runner) -> float:
-        """Of all that the listed runners can do."""
-        return runner.facts.weight / (self.index.weight or 1.0)
-
-    def shared_order(self, model: Model, replicas: int) -> Iterator[Runner]:
+    def shared_order(self, model: Model, replicas: int = 0) -> Iterator[Runner]:
         return model.ranking.candidates(self.index, replicas)
 
     def next_place(self, model: Model) -> Runner | None:
@@ -425,8 +419,7 @@
         if result in (io.Result.SATISFIED, io.Result.FULL, io.Result.ERROR):
             self.alive(order.runner)
         if not copy.stands:
-            copy.held = False
-            copy.refused = self.now
+            copy.held, copy.refused = False, self.now
 
     # -- which runner may take what
 
@@ -454,19 +447,25 @@
     def cold(self, runner: Runner) -> bool:
         return bool(runner.facts.since) and self.now - runner.facts.since < self.settings.cold
 
-    def cold_gap(self, runner: Runner) -> int:
-        """Time between tasks to a cold runner: this dispatcher's own part of what it stands. The satisfied
-        tasks of all dispatchers, a runner, are no more than a warm one can do; each counts its own, so uneven
-        traffic keeps the sum. The best seen counts: a release lowers what is satisfied, not what it does."""
+    def cold_gap(self, runner: Runner, requests: float = 1.0) -> int:
+        """Time in which a cold worker may get that many requests of this dispatcher: its part of the ramp.
+        Each counts what it satisfied itself, so uneven traffic keeps the sum; the best, as a release lowers
+        it, but no more than is asked now, as the best of a few requests is mostly chance."""
         s = self.settings
-        share = s.cold_from + (1 - s.cold_from) * (self.now - runner.facts.since) / max(s.cold, 1)
-        rate = s.fall_multiple * share * self.best * self.part(runner)
-        return int(SECOND / max(rate, 1e-3))
+        growth = (1 - s.cold_from) / max(s.cold, 1)
+        share = s.cold_from + growth * max(0, self.now - runner.facts.since)  # clocks of workers may be ahead
+        part = runner.facts.weight / max(self.weight, self.index.weight, 1e-9)
+        rate = s.fall_multiple * min(self.best, self.asked) * part
+        need = requests * SECOND / max(rate, 1e-3) + 1  # ns that it takes a warm worker
+        # solves share * gap + growth * gap ** 2 / 2 = need: of many dispatchers, a gap spans most of the ramp
+        return int(2 * need / (share + math.sqrt(share**2 + 2 * growth * need)))
 
     def room(self, runner: Runner, spare: bool) -> bool:
-        if self.cold(runner) and runner.next < runner.facts.since:
-            # a first task at once from each of many dispatchers would be the push that the rule forbids
-            runner.next = self.now + int(self.pick() * self.cold_gap(runner))
+        if self.cold(runner) and runner.ramp != runner.facts.since:
+            if not self.best:
+                return False  # begun a moment ago: its part is not known, and a guess at it would last
+            runner.ramp = runner.facts.since
+            runner.next = self.now + self.cold_gap(runner, self.pick())
         width = runner.width * (SPARE if spare else 1.0)
         narrow = spare and width * self.settings.front_ends < LEAST_WIDTH
         return not narrow and self.now >= runner.next and runner.running < max(1.0, width)
@@ -487,9 +486,8 @@
         if holders:
             two = [holders[int(self.pick() * len(holders))] for _ in range(2)]
             return min(two, key=lambda c: self.busy(c.runner)).runner
-        few = len(self.runners) <= RANKED_WHOLE
         for runner in self.shared_order(model, len(known)):
-            if known and few and not self.cold(runner):
+            if known and len(self.runners) <= RANKED_WHOLE and not self.cold(runner):
                 continue  # a load would push out what others need; one just started holds nothing yet
             if runner not in but and self.fit(task, runner):
                 return runner
@@ -504,8 +502,7 @@
         return self.pace(runner) * (1 + runner.running)
 
     def crowded(self, runner: Runner) -> bool:
-        """Lanes are often more than cores: a runner that takes much longer than usual, or has far more than
-        its part of our tasks out, is no home. The latter tells before any answer has."""
+        """A runner that takes much longer than usual, or has far more than its part of our tasks out."""
         return self.pace(runner) > CROWDED or runner.running > 2 + 2 * self.running / len(self.runners)
 
     def over_share(self, customer: io.Customer | None) -> bool:
@@ -535,9 +532,8 @@
         if self.now >= self.begin_by(task) or offering.effect is io.Effect.UNREPEATABLE:
             return False
         a, b = ran[0].runner.facts, runner.facts
-        if offering.group is io.Group.ALL:
-            return True
-        return a.zone == b.zone if offering.group is io.Group.ZONE else (a.zone, a.cell) == (b.zone, b.cell)
+        same = a.zone == b.zone and (a.cell == b.cell or offering.group is io.Group.ZONE)
+        return same or offering.group is io.Group.ALL
 
     def begin_by(self, task: io.Task) -> int:
         """A repeat of what may have run is dropped as one inside its window only."""
@@ -598,11 +594,10 @@
     def closed(self, task: io.Task, left: bool) -> list[io.Action]:
         """A task that is over leaves nothing waiting. Where its client `left` with its one hand-off out, that
         may end: a runner goes on with most of what is called off, and would be taken for free meanwhile."""
-        if left:
-            if task.hand_offs and task.hand_offs[0].sent in self.taken:
-                self.taken.remove(task.hand_offs[0].sent)  # taken back: no room for orders
-            return []
-        return [io.CallOff(h) for h in task.hand_offs if h.result is None and self.settings.call_off]
+        if left and task.hand_offs and task.hand_offs[0].sent in self.taken:
+            self.taken.remove(task.hand_offs[0].sent)  # taken back: no room for orders
+        out = [h for h in task.hand_offs if h.result is None and self.settings.call_off]
+        return [] if left else [io.CallOff(h) for h in out]
 
     def count(self, task: io.Task) -> io.Steps:
         """A rate above Rmax runs the check at once."""
@@ -615,7 +610,6 @@
         model.tasks += 1
         model.cost += (task.cost - model.cost) / min(model.tasks, 60)
         model.last = self.now
-        # the first try of a repeated task is mostly late by now; those that heed nothing repeat the most
         task.spare = task.again or self.over_share(task.customer)
         if task.customer:
             self.served[task.customer] = self.served.get(task.customer, 0) + 1
@@ -623,6 +617,7 @@
             model.counts[0], model.second = 0, self.now
         if not task.spare:
             model.counts = [n + 1 for n in model.counts]
+            self.first_tries += 1
         sure = model.counts[0] - 2 * math.sqrt(model.counts[0])  # above Rmax by more than chance
         if model.tasks > 1 and (not model.most or sure * self.peers > model.most):
             yield from self.check(model, model.counts[0], SECOND)
@@ -652,6 +647,7 @@
 
     def copy(self, model: Model, runner: Runner) -> Copy:
         if runner not in model.copies:
+            self.models.setdefault(model)  # what has copies is checked
             model.copies[runner] = runner.copies[model] = Copy(runner, model)
         return model.copies[runner]
 
@@ -666,10 +662,10 @@
         runner.running -= hand_off.expected
         self.running -= hand_off.expected
         copy.out -= 1
-        if result in HEARD:
+        if result in io.HEARD:
             self.alive(runner)
-        if (result is io.Result.SATISFIED or result in FAILED) and answer.warmth is not io.Warmth.LOAD_FAILED:
-            self.judge(hand_off, result in FAILED)
+        if result in (io.Result.SATISFIED, *io.FAILED) and answer.warmth is not io.Warmth.LOAD_FAILED:
+            self.judge(hand_off, result in io.FAILED)
         if result is io.Result.SATISFIED:
             self.satisfied += 1
             runner.fulls = 0
@@ -698,9 +694,9 @@
         elif result is io.Result.FULL:
             self.widen(runner, 2 * task.offering.soft_limit, task.offering.soft_limit)
             runner.fulls += 1
-        elif result in UNHEARD or (result is io.Result.SILENT and runner.heard < hand_off.sent):
+        elif result in io.UNHEARD or (result is io.Result.SILENT and runner.heard < hand_off.sent):
             runner.silent, runner.waiting = runner.silent + 1, self.now
-            if model.home is runner and result in UNHEARD:
+            if model.home is runner and result in io.UNHEARD:
                 model.home = None
 
         if result is not io.Result.SATISFIED and not copy.out:
@@ -709,7 +705,7 @@
     def judge(self, hand_off: io.HandOff, failed: bool) -> None:
         """Whose fault an error is: of one that fails at a second runner too, the task's."""
         task, runner = hand_off.task, hand_off.runner
-        before = [h for h in task.hand_offs if h.result in FAILED and h is not hand_off]
+        before = [h for h in task.hand_offs if h.result in io.FAILED and h is not hand_off]
         part = runner.failed.get(task.offering, 0.0)
         if failed and not before and self.now < runner.failed_last + APART:
             return  # at once: a client that sends what nobody can use sends much of it
@@ -723,9 +719,8 @@
     def widen(self, runner: Runner, lag: int, soft: int) -> None:
         """Own tasks at a runner: one more a round in time, a fifth fewer when late, once a soft limit."""
         runner.late += ((lag > soft) - runner.late) / 8
-        if lag <= soft // 2 and runner.late <= LATE:
-            if runner.running + 1 > runner.width / 2:
-                runner.width += min(1 / runner.width, runner.width / 4)
+        if lag <= soft // 2 and runner.late <= LATE and runner.running + 1 > runner.width / 2:
+            runner.width += min(1 / runner.width, runner.width / 4)
         elif runner.late > LATE and lag > soft and self.now - runner.widened > soft:
             runner.widened = self.now
             runner.width = max(LEAST_WIDTH / self.settings.front_ends, runner.width * 0.8)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -82,7 +82,10 @@
     """In a release less is satisfied: of that, the new runners got next to nothing and stood idle."""
     play = Play(runners="a", keep=4_000_000_000)
     play.served(60)
-    play.served(6, every=1000)
+    for n in range(120):  # as much is asked, and one of twenty is satisfied
+        play.task("-", patience=49)
+        play.to(3000 + 50 * (n + 1))
+        play.answer(io.Result.CALLED_OFF if n % 20 else io.Result.SATISFIED)
     play.list_one("a", since=9100)
     sent = 0
     for ms in range(9200, 13_200, 100):
@@ -94,6 +97,51 @@
     check(play, "cold_best")
 
 
+def test_what_a_cold_runner_gets_is_of_no_more_than_is_asked_now() -> None:
+    """Traffic that went to others is counted by them: the best rate of old would count it twice."""
+    play = Play(runners="a", keep=4_000_000_000)
+    play.served(60)
+    play.served(6, every=1000)
+    play.list_one("a", since=9100)
+    sent = 0
+    for ms in range(9200, 13_200, 100):
+        play.to(ms)
+        before = len(play.hand_offs)
+        play.task(f"t{ms}", patience=200)
+        sent += len(play.hand_offs) - before
+    play.lines = [f"{sent} of 40"]
+    check(play, "cold_moved")
+
+
+def test_one_just_begun_leaves_a_cold_runner_until_it_knows_its_part() -> None:
+    """Its guess would last: the time of its first task there was drawn from it, up to 1000 s away."""
+    play = Play(runners="a")
+    play.list_one("a", since=1)
+    first = []
+    for ms in range(100, 30_000, 100):
+        play.to(ms)
+        play.task(f"t{ms}", patience=50)
+        if play.hand_offs and not first:
+            first.append(play.brain.now)
+    play.lines = [f"first at {first[0] // MS} ms"]
+    check(play, "cold_begun")
+
+
+def test_a_start_told_as_in_the_future_is_one_just_made() -> None:
+    """10 a second is what it may get then: 2.5 times a fifth of the 20 a second that were satisfied."""
+    play = Play(runners="a")
+    play.served(60)
+    play.wide()
+    play.list_one("a", since=36_000_000)
+    for ms in range(3020, 4020, 20):
+        play.to(ms)
+        play.task(f"t{ms}", patience=200)
+        while play.hand_offs and play.hand_offs[0].sent < (ms - 100) * MS:
+            play.answer(which=0)
+    sent = sum(" -> a" in line for line in play.lines)
+    assert 8 <= sent <= 12
+
+
 def test_a_task_whose_holders_are_full_may_go_to_a_runner_just_started() -> None:
     """It holds nothing that a load would push out; at any other runner one would."""
     play = Play(runners="abc", front_ends=2, orders=False)
--- /dev/null
+++ b/tests/test_slow_start_fleet.py
@@ -0,0 +1,319 @@
+"""Slow start of cold workers: what the independent dispatchers of a fleet send to one of them together.
+
+Each dispatcher is an engine with a brain of its own; none knows of the others. All run on one virtual clock.
+The budget of a worker for a window is N requests, N being `fall_multiple` times the capacity it has then;
+chance is allowed 2 * sqrt(N) + 2 more.
+"""
+
+from __future__ import annotations
+
+import math
+from bisect import bisect_right
+from collections.abc import Callable
+from dataclasses import replace
+from functools import cache
+from heapq import heappop, heappush
+from random import Random
+from typing import Any
+
+import pytest
+
+from martenlead import interface as io
+from martenlead.brain import Brain, Model
+from martenlead.engine import Engine
+from tests.play import CHECK, MS, SETTINGS
+
+SECOND = 1000 * MS
+WORKERS = 12
+CAPACITY = 20.0  # requests a second of a warm worker of weight 1
+LOAD = 0.9  # of the whole capacity
+LATENCY = 30 * MS
+WINDOWS = (2 * SECOND, 3 * SECOND)  # how long an overload lasts until a cold worker fails
+COLD = 8 * SECOND
+WARM_UP = 6 * SECOND
+TOLD_AFTER = 100 * MS  # its start, all dispatchers learn of a cold worker at the same instant
+HOT = 0.9  # of the requests after the start: for a new function that has a cold worker first in its order
+HOT_FUNCTIONS = 1000
+FUNCTIONS = 600
+
+
+@cache
+def hot_functions(listed: tuple[tuple[int, float], ...], cold: frozenset[int]) -> list[int]:
+    """Functions that have a cold worker first in their shared order."""
+    brain = Brain(SETTINGS, 0)
+    facts = [io.RunnerFacts(mark, "east", 0, 50_000.0, weight, io.State.UP, 0) for mark, weight in listed]
+    brain.roster([(brain.runner(f), f) for f in facts], True)
+    hot: list[int] = []
+    function = FUNCTIONS
+    while len(hot) < HOT_FUNCTIONS:
+        function += 1
+        if next(brain.shared_order(Model(io.ModelFacts(function, 4, 300.0), 0))).facts.mark in cold:
+            hot.append(function)
+    return hot
+
+
+class Fleet:
+    """`size` dispatchers before `WORKERS` workers. Each request asks for one of many functions, so that most
+    have no replica anywhere and go where the shared order says."""
+
+    def __init__(self, size: int, seed: int, weights: dict[int, float] | None = None) -> None:
+        self.chance = Random(seed)
+        self.size = size
+        self.now = self.told = 0
+        self.events: list[tuple[int, int, Callable[[], None]]] = []
+        self.count = 0
+        self.capacity = [CAPACITY * (weights or {}).get(mark, 1.0) for mark in range(WORKERS)]
+        self.listed = {mark: self.facts(mark) for mark in range(WORKERS)}
+        self.since: dict[int, int] = {}
+        self.hot: list[int] = []
+        self.arrivals: dict[int, list[int]] = {mark: [] for mark in range(WORKERS)}
+        shares = [4.0 if n % 10 == 1 else 0.67 for n in range(size)]  # some carry several times the mean
+        total = LOAD * sum(self.capacity)
+        self.rates = [total * share / sum(shares) for share in shares]
+        self.dispatchers = [Dispatcher(self, n) for n in range(size)]
+        for n in range(size):
+            self.next_request(n)
+
+    def facts(self, mark: int, state: io.State = io.State.UP, since: int = 0) -> io.RunnerFacts:
+        return io.RunnerFacts(mark, "east", 0, 50_000.0, self.capacity[mark], state, since)
+
+    def at(self, when: int, call: Callable[[], None]) -> None:
+        self.count += 1
+        heappush(self.events, (when, self.count, call))
+
+    def run_until(self, end: int) -> None:
+        while self.events and self.events[0][0] <= end:
+            self.now, _, call = heappop(self.events)
+            call()
+        self.now = end
+
+    def next_request(self, n: int) -> None:
+        if self.rates[n]:
+            self.at(self.now + int(self.chance.expovariate(self.rates[n]) * SECOND), lambda: self.request(n))
+        else:
+            self.at(self.now + 100 * MS, lambda: self.next_request(n))
+
+    def request(self, n: int) -> None:
+        if self.rates[n]:
+            hot = self.hot and self.chance.random() < HOT
+            self.dispatchers[n].request(
+                self.chance.choice(self.hot) if hot else self.chance.randrange(FUNCTIONS)
+            )
+        self.next_request(n)
+
+    def heat(self, cold: list[int]) -> None:
+        """From now on, most of the requests want a cold worker."""
+        listed = [(f.mark, f.weight) for f in self.listed.values() if f.state is io.State.UP]
+        self.hot = hot_functions(tuple(listed), frozenset(cold))
+
+    def start(self, marks: list[int], told_after: int = TOLD_AFTER) -> None:
+        """Plays the ramp of cold workers that all dispatchers are told of now."""
+        self.tell(marks, io.State.UP, self.now - told_after)
+        self.heat(marks)
+        self.run_until(self.now + COLD)
+
+    def replace(self, mark: int) -> None:
+        self.tell([mark], io.State.GONE)
+        self.pause(200 * MS)
+        self.start([mark])
+
+    def pause(self, time: int) -> None:
+        self.run_until(self.now + time)
+
+    def tell(self, marks: list[int], state: io.State, since: int = 0) -> None:
+        """All dispatchers learn of it at the same instant."""
+        for mark in marks:
+            self.listed[mark] = self.facts(mark, state, since)
+            if since:
+                self.since[mark], self.told = since, self.now
+        for dispatcher in self.dispatchers:
+            dispatcher.list_workers(marks)
+
+    def part(self, tenths: int) -> list[int]:
+        """So many tenths of the dispatchers, one at least."""
+        some = [n for n in range(self.size) if n % 10 < tenths]
+        return some[: max(1, self.size * tenths // 10)]
+
+    def restart(self, which: list[int]) -> None:
+        for n in which:
+            self.dispatchers[n].alive = False
+            self.dispatchers[n] = Dispatcher(self, n)
+
+    def capacity_share(self, mark: int, when: int) -> float:
+        """The least that a worker can do by then, as a part of what it can do once it is warm."""
+        age = max(0, when - self.since[mark]) / COLD
+        return min(1.0, SETTINGS.cold_from + (1 - SETTINGS.cold_from) * age)
+
+    def sent(self, mark: int) -> list[int]:
+        """When requests came to a cold worker, from the time that dispatchers were told of its start."""
+        return [at for at in self.arrivals[mark] if self.told <= at < self.since[mark] + COLD]
+
+    def budget(self, mark: int, begin: int, end: int) -> float:
+        """N of a window: the capacity is the mean of those at its begin and end, as it rises evenly."""
+        share = (self.capacity_share(mark, begin) + self.capacity_share(mark, end)) / 2
+        return SETTINGS.fall_multiple * share * self.capacity[mark] * (end - begin) / SECOND
+
+    def most_used(self) -> float:
+        """The most that came to a cold worker within a window, as a part of the budget with its chance."""
+        most = 0.0
+        for mark in self.since:
+            sent = self.sent(mark)
+            for window in WINDOWS:
+                for end in sent:
+                    budget = self.budget(mark, end - window, end)
+                    came = bisect_right(sent, end) - bisect_right(sent, end - window)
+                    most = max(most, came / (budget + 2 * math.sqrt(budget) + 2))
+        return most
+
+    def mean_used(self) -> float:
+        """What came to all cold workers, as a part of their budgets for the whole of the ramp."""
+        budget = sum(self.budget(mark, self.told, since + COLD) for mark, since in self.since.items())
+        return sum(len(self.sent(mark)) for mark in self.since) / budget
+
+
+class Dispatcher:
+    """One process of the fleet. It knows what it is told and what its own requests meet."""
+
+    def __init__(self, fleet: Fleet, n: int) -> None:
+        self.fleet = fleet
+        self.alive = True
+        settings = replace(SETTINGS, front_ends=fleet.size, orders=False, cold=COLD)
+        self.brain = Brain(settings, fleet.chance.randrange(1 << 30))
+        self.brain.now = fleet.now
+        self.engine = Engine(self.brain, self.out)
+        self.functions: dict[int, Any] = {}
+        self.workers = {mark: self.brain.runner(facts) for mark, facts in fleet.listed.items()}
+        self.list_workers(list(fleet.listed))
+        self.engine.begin()
+        self.wake()
+
+    def list_workers(self, marks: list[int]) -> None:
+        self.brain.now = self.fleet.now
+        self.brain.roster([(self.workers[mark], self.fleet.listed[mark]) for mark in marks], False)
+
+    def wake(self) -> None:
+        due = self.engine.due()
+        if due is not None and self.alive:
+            self.fleet.at(max(due, self.fleet.now), self.advance)
+
+    def advance(self) -> None:
+        if self.alive:
+            self.brain.now = self.fleet.now
+            self.engine.advance(self.fleet.now)
+            self.wake()
+
+    def request(self, function: int) -> None:
+        if function not in self.functions:
+            self.functions[function] = self.brain.model(io.ModelFacts(function, 4, 300.0))
+        self.brain.now = self.fleet.now
+        give_up = self.fleet.now + 2 * SECOND
+        self.engine.take(io.Task(self.functions[function], CHECK, None, give_up, False, 0.0))
+
+    def out(self, action: io.Action) -> None:
+        if isinstance(action, io.HandOff):
+            mark = action.runner.facts.mark
+            self.fleet.arrivals[mark].append(self.fleet.now)
+            self.fleet.at(self.fleet.now + LATENCY, lambda: self.answer(action))
+
+    def answer(self, attempt: io.HandOff) -> None:
+        if not self.alive:
+            return
+        self.brain.now = self.fleet.now
+        warmth = io.Warmth.WARM if attempt.expected else io.Warmth.BEGAN
+        self.engine.answered(io.Answer(attempt, io.Result.SATISFIED, True, warmth, LATENCY))
+        self.engine.closed(attempt.task)
+
+
+def replaced(fleet: Fleet) -> None:
+    fleet.replace(3)
+
+
+def restarted_in_place(fleet: Fleet) -> None:
+    """Dispatchers go on sending until they are told, seconds later."""
+    fleet.heat([3])
+    fleet.pause(2 * SECOND)
+    fleet.start([3], told_after=2 * SECOND)
+
+
+def zone_returns(fleet: Fleet) -> None:
+    zone = list(range(4))
+    fleet.tell(zone, io.State.GONE)
+    fleet.pause(5 * SECOND)
+    fleet.start(zone)
+
+
+def zone_gone(fleet: Fleet) -> None:
+    """Half of the workers are gone as one of the others is replaced."""
+    fleet.tell(list(range(6, WORKERS)), io.State.GONE)
+    fleet.pause(2 * SECOND)
+    fleet.replace(3)
+
+
+def some_restarted(fleet: Fleet) -> None:
+    fleet.restart(fleet.part(3))
+    fleet.pause(SECOND)
+    fleet.replace(3)
+
+
+def all_restarted_as_it_starts(fleet: Fleet) -> None:
+    fleet.tell([3], io.State.GONE)
+    fleet.restart(fleet.part(10))
+    fleet.start([3])
+
+
+def others_carried_their_traffic(fleet: Fleet) -> None:
+    """Seven in ten are killed; they are back, and have their traffic again, when the worker starts."""
+    dead, rates = fleet.part(7), fleet.rates
+    scale = sum(rates) / (sum(rates) - sum(rates[n] for n in dead))
+    fleet.rates = [0.0 if n in dead else rate * scale for n, rate in enumerate(rates)]
+    fleet.pause(6 * SECOND)
+    fleet.rates = rates
+    fleet.restart(dead)
+    fleet.pause(4 * SECOND)
+    fleet.replace(3)
+
+
+def traffic_moved(fleet: Fleet) -> None:
+    fleet.rates = fleet.rates[1:] + fleet.rates[:1]
+    fleet.pause(4 * SECOND)
+    fleet.replace(3)
+
+
+# by case, the least of the budgets over a whole ramp that the workers have to get: to send nothing is no way
+# to keep them. Four cold workers have more room than there is demand.
+CASES = {
+    replaced: 0.5,
+    restarted_in_place: 0.5,
+    zone_returns: 0.25,
+    zone_gone: 0.4,
+    some_restarted: 0.5,
+    all_restarted_as_it_starts: 0.5,
+    others_carried_their_traffic: 0.5,
+    traffic_moved: 0.5,
+}
+
+
+def check(fleet: Fleet, case: Callable[[Fleet], None]) -> None:
+    fleet.run_until(WARM_UP)
+    case(fleet)
+    assert fleet.most_used() <= 1.0
+    assert fleet.mean_used() >= CASES[case]
+
+
+@pytest.mark.parametrize(("size", "seed"), [(2, 1), (10, 2), (30, 3), (200, 4)])
+@pytest.mark.parametrize("case", CASES, ids=lambda case: case.__name__)
+def test_all_dispatchers_together_keep_to_the_budget(
+    case: Callable[[Fleet], None], size: int, seed: int
+) -> None:
+    check(Fleet(size, seed), case)
+
+
+@pytest.mark.parametrize("size", [10, 200])
+@pytest.mark.parametrize("weight", [0.4, 2.5])
+def test_a_worker_unlike_the_mean_gets_by_its_weight(weight: float, size: int) -> None:
+    check(Fleet(size, 6, {3: weight}), replaced)
+
+
+@pytest.mark.parametrize("seed", [7, 8, 9])
+def test_the_budget_is_kept_on_further_seeds(seed: int) -> None:
+    check(Fleet(200, seed), replaced)
