--- a/martenlead/candidates.py
+++ b/martenlead/candidates.py
@@ -9,8 +9,9 @@
 from __future__ import annotations
 
 import math
-from bisect import insort
+from bisect import bisect_left, insort
 from collections.abc import Iterator
+from itertools import islice
 from struct import Struct
 from typing import Any
 from zlib import crc32
@@ -21,12 +22,13 @@
 LEAVES = 1 << 13  # of the tree: each has the few workers whose hashes fall there
 CANDIDATES = 32  # workers that a function looks at beyond those it has replicas on
 DRAWS = 4  # for each candidate: a draw may name a worker that was drawn before
+LEAST_WEIGHT = 1e-9  # a worker that is told to have none is ranked all the same
 CHOICE = Struct("<QQQ")  # what a choice is hashed from: function, number of its draw, node or worker
 
 
 def score(mixed: int, weight: float) -> float:
     """Of 32 random bits; the least of several scores is each one's as often as its weight says."""
-    return -math.log((mixed + 1) / 2**32) / max(weight, 1e-9)
+    return -math.log((mixed + 1) / 2**32) / max(weight, LEAST_WEIGHT)
 
 
 def digest(mark: int) -> int:
@@ -49,7 +51,8 @@
         self._changed(worker, worker.facts.memory)
 
     def remove(self, worker: Any) -> None:
-        self.workers.remove(worker)
+        at = bisect_left(self.workers, worker.facts.mark, key=lambda w: w.facts.mark)
+        del self.workers[self.workers.index(worker, at)]
         self._leaves[self._leaf(worker)].remove(worker)
         self._changed(worker, -worker.facts.memory)
 
@@ -60,7 +63,7 @@
         self.version += 1
         self.memory += memory
         node = self._leaf(worker)
-        self._weights[node] = math.fsum(w.facts.weight for w in self._leaves[node])
+        self._weights[node] = math.fsum(max(w.facts.weight, LEAST_WEIGHT) for w in self._leaves[node])
         while node > 1:
             node //= 2
             self._weights[node] = self._weights[2 * node] + self._weights[2 * node + 1]
@@ -103,8 +106,8 @@
         if self.version != index.version:
             self.version, self.draws = index.version, 0
             self.found = index.ranked(self.mark) if short else []
-        yield from self.found
-        function, most = digest(self.mark), CANDIDATES + replicas
+        function, most = digest(self.mark), len(index.workers) if short else CANDIDATES + replicas
+        yield from islice(self.found, most)
         while not short and len(self.found) < most and self.draws < DRAWS * most:
             self.draws += 1
             worker = index.draw(function, self.draws)
--- a/martenlead/capture/checkpoint.py
+++ b/martenlead/capture/checkpoint.py
@@ -17,6 +17,8 @@
 import io
 import pickle
 from collections import deque
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING, Any
@@ -226,11 +228,27 @@
         "tape": {name: value for name, value in vars(replayer._tape).items() if name not in ("sink", "edge")},
         "start": msgspec.msgpack.encode(replayer.start),
     }
-    out = io.BytesIO()
-    _Pickler(out, protocol=5).dump(state)
+    with _without_replicas_of_workers(replayer.brain, replayer.runners):
+        out = io.BytesIO()
+        _Pickler(out, protocol=5).dump(state)
     return zstandard.ZstdCompressor(level=3).compress(out.getvalue())
 
 
+@contextmanager
+def _without_replicas_of_workers(brain: Brain, workers: Iterable[Any]) -> Iterator[None]:
+    """Functions name the replicas at their workers. That workers name them too would join all objects to one
+    graph, along which pickle recurses too deep; it is put back from the functions when it is read."""
+    known = {*workers, *brain.runners, *(worker for model in brain.models for worker in model.copies)}
+    replicas = {worker: worker.copies for worker in known}
+    try:
+        for worker in known:
+            worker.copies = {}
+        yield
+    finally:
+        for worker, copies in replicas.items():
+            worker.copies = copies
+
+
 def restore(replayer: Replayer, checkpoint: Checkpoint) -> None:
     """Puts a replayer where the one was that wrote it. Raises `BadCapture`."""
     if checkpoint.module != module_hash():
@@ -239,6 +257,9 @@
     state = _Unpickler(io.BytesIO(data)).load()
     brain = Brain.__new__(Brain)
     vars(brain).update(state["brain"])
+    for model in brain.models:
+        for worker, copy in model.copies.items():
+            worker.copies[model] = copy
     replayer.brain = brain
     replayer._settings = brain.settings
     replayer.engine = engine = Engine(brain, replayer._outlet)
