Tests of the ranking of workers: same list same draws, shares by weight, small moves, bounds

Cause: the ranking above 256 workers had no tests of its own. Change: tests of the order up to 256 against a plain weighted rendezvous hash, of lists reached by different news, of shares by weight, of what one change or a lost zone moves, of bounds and odd weights.

--- /dev/null
+++ b/tests/test_candidates.py
@@ -0,0 +1,304 @@
+"""The ranking of workers for a function: the same at every dispatcher, spread by weight, and bounded."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Iterable
+from random import Random
+from zlib import crc32
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from martenlead import interface as io
+from martenlead.brain import Brain, Runner
+from martenlead.candidates import CANDIDATES, LEAVES, RANKED_WHOLE, CandidateIndex, Ranking
+from tests.play import SETTINGS
+
+FULL_SIZE = 7_700
+FUNCTIONS = range(1_000_000, 1_000_600)
+SEEDS = st.integers(0, 2**32)
+
+
+def facts(mark: int, weight: float = 1.0, state: io.State = io.State.UP) -> io.RunnerFacts:
+    return io.RunnerFacts(mark, f"zone-{mark % 10}", 0, 50_000.0, weight, state, 0)
+
+
+def worker(mark: int, weight: float = 1.0) -> Runner:
+    return Runner(facts(mark, weight), 0, 1.0)
+
+
+def index_of(workers: Iterable[Runner]) -> CandidateIndex:
+    index = CandidateIndex()
+    for one in workers:
+        index.add(one)
+    return index
+
+
+def fleet(size: int) -> list[Runner]:
+    return [worker(mark) for mark in Random(size).sample(range(1 << 40), size)]
+
+
+def marks(index: CandidateIndex, function: int, replicas: int = 0) -> list[int]:
+    return [one.facts.mark for one in Ranking(function).candidates(index, replicas)]
+
+
+def firsts(index: CandidateIndex, functions: Iterable[int] = FUNCTIONS) -> dict[int, int]:
+    return {function: next(Ranking(function).candidates(index, 0)).facts.mark for function in functions}
+
+
+def moved(before: dict[int, int], after: dict[int, int]) -> float:
+    return sum(before[function] != after[function] for function in before) / len(before)
+
+
+# -- up to 256 workers
+
+
+@given(SEEDS, st.integers(0, RANKED_WHOLE))
+@settings(max_examples=30, deadline=None)
+def test_a_short_list_is_in_the_order_of_weighted_rendezvous_hashing(seed: int, size: int) -> None:
+    chance = Random(seed)
+    weights = {mark: chance.choice((0.5, 1.0, 3.0, 8.0)) for mark in chance.sample(range(1 << 48), size)}
+
+    def key(mark: int) -> float:
+        return -math.log((crc32(f"{seed} {mark}".encode()) + 1) / 2**32) / weights[mark]
+
+    index = index_of(worker(mark, weight) for mark, weight in weights.items())
+    assert marks(index, seed) == sorted(sorted(weights), key=key)
+
+
+# -- the same list, whatever led to it
+
+
+def told(brain: Brain, known: dict[int, Runner], lines: list[io.RunnerFacts], whole: bool = False) -> None:
+    """News of workers by their marks, as a door tells it."""
+    for line in lines:
+        if line.mark not in known:
+            known[line.mark] = brain.runner(line)
+    brain.roster([(known[line.mark], line) for line in lines], whole)
+
+
+@given(SEEDS)
+@settings(max_examples=8, deadline=None)
+def test_every_history_that_ends_in_the_same_list_draws_the_same(seed: int) -> None:
+    """One dispatcher hears the whole list once. The other hears of joins, leaves, returns and weights, each
+    line up to three times and out of turn, of workers that it never knew, and whole lists in between."""
+    chance = Random(seed)
+    weights = {mark: chance.choice((0.25, 1.0, 2.0, 8.0)) for mark in chance.sample(range(1 << 40), 400)}
+    last = [facts(mark, weight) for mark, weight in weights.items()]
+    once, often = Brain(SETTINGS, 1), Brain(SETTINGS, 2)
+    told(once, {}, last, whole=True)
+    known: dict[int, Runner] = {}
+    for _ in range(6):
+        some = chance.sample(last, 150)
+        lines = [facts(line.mark, chance.random() + 0.1, chance.choice(list(io.State))) for line in some]
+        lines += [facts(chance.randrange(1 << 41), 1.0, io.State.GONE) for _ in range(20)]
+        lines = [line for line in lines for _ in range(chance.randint(1, 3))]
+        chance.shuffle(lines)
+        told(often, known, lines, whole=chance.random() < 0.3)
+    for line in chance.sample(last, 400):
+        told(often, known, [line])
+    assert [r.facts.mark for r in often.runners] == [r.facts.mark for r in once.runners] == sorted(weights)
+    assert often.index.weight == once.index.weight
+    assert often.index.memory == pytest.approx(once.index.memory)
+    for function in range(40):
+        assert marks(often.index, function, 5) == marks(once.index, function, 5)
+
+
+def test_the_candidates_do_not_depend_on_what_was_asked_before() -> None:
+    index = index_of(fleet(500))
+    for function in range(50):
+        asked = Ranking(function)
+        next(asked.candidates(index, 3))
+        list(asked.candidates(index, 0))
+        assert [w.facts.mark for w in asked.candidates(index, 20)] == marks(index, function, 20)
+
+
+def test_a_version_changes_with_the_list_alone() -> None:
+    brain, known = Brain(SETTINGS, 1), dict[int, Runner]()
+    lines = [facts(mark, 1.0 + mark % 3) for mark in range(300)]
+    told(brain, known, lines, whole=True)
+    version = brain.index.version
+    told(brain, known, list(reversed(lines)), whole=True)
+    told(brain, known, lines[:7] * 3)
+    told(brain, known, [facts(5, lines[5].weight, io.State.DRAINING), facts(10**6, 1.0, io.State.GONE)])
+    assert brain.index.version == version
+    versions = [version]
+    for line in (facts(5, 8.0), facts(6, 1.0, io.State.GONE), facts(6), facts(301)):
+        told(brain, known, [line])
+        versions.append(brain.index.version)
+        told(brain, known, [line])
+        assert brain.index.version == versions[-1]
+    assert len(set(versions)) == len(versions)
+
+
+# -- shares and moves
+
+
+def test_first_candidates_follow_the_weights() -> None:
+    """Of 9,000 functions each class of weight has its share within four standard deviations, each worker of
+    300 within five."""
+    weights = {worker_mark: (1.0, 2.0, 4.0, 8.0)[worker_mark % 4] for worker_mark in range(300)}
+    index = index_of(worker(mark, weight) for mark, weight in weights.items())
+    drawn, functions = Counter(firsts(index, range(9_000)).values()), 9_000
+    total = sum(weights.values())
+    for weight in (1.0, 2.0, 4.0, 8.0):
+        of_class = [mark for mark in weights if weights[mark] == weight]
+        expected = functions * weight * len(of_class) / total
+        got = sum(drawn[mark] for mark in of_class)
+        assert abs(got - expected) < 4 * math.sqrt(expected), (weight, got, expected)
+    for mark, weight in weights.items():
+        expected = functions * weight / total
+        assert abs(drawn[mark] - expected) < 5 * math.sqrt(expected), (mark, drawn[mark], expected)
+
+
+@pytest.mark.parametrize("size", [300, 2_000, FULL_SIZE])
+@pytest.mark.parametrize("change", ["joins", "leaves", "weighs more"])
+def test_one_change_moves_a_small_multiple_of_one_share(size: int, change: str) -> None:
+    """At most log2(n) / n of the functions on average, in 20 changes of one worker each."""
+    workers = fleet(size)
+    index = index_of(workers)
+    before = firsts(index)
+    shares = []
+    for one in workers[:: size // 20][:20]:
+        if change == "joins":
+            one = worker(one.facts.mark + 1)
+        else:
+            index.remove(one)
+        if change == "weighs more":
+            one = worker(one.facts.mark, 2.0)
+        if change != "leaves":
+            index.add(one)
+        shares.append(moved(before, firsts(index)))
+        if change != "leaves":
+            index.remove(one)
+        if change != "joins":
+            one.facts.weight = 1.0
+            index.add(one)
+    assert firsts(index) == before
+    assert sum(shares) / len(shares) <= math.log2(size) / size
+    assert max(shares) <= 4 * math.log2(size) / size + 4 / len(before)
+
+
+def test_a_lost_zone_moves_its_functions_alone_to_many_and_its_return_gives_back_the_order() -> None:
+    """Of the functions that stood elsewhere at most a fifth moves: weights on both sides of a choice change,
+    the less the higher it is in the tree."""
+    workers = fleet(2_000)
+    index = index_of(workers)
+    before, orders = firsts(index), {function: marks(index, function, 4) for function in range(60)}
+    zone = {one.facts.mark: one for one in workers[::10]}
+    for one in zone.values():
+        index.remove(one)
+    without = firsts(index)
+    assert not set(without.values()) & set(zone)
+    stayed = {function: mark for function, mark in before.items() if mark not in zone}
+    assert moved(stayed, without) <= 0.2
+    for mark, one in Random(3).sample(sorted(zone.items()), len(zone)):
+        assert one.facts.mark == mark
+        index.add(one)
+    assert firsts(index) == before
+    assert {function: marks(index, function, 4) for function in range(60)} == orders
+
+
+@pytest.mark.parametrize("size", [300, FULL_SIZE])
+def test_the_functions_of_a_lost_worker_spread_over_many(size: int) -> None:
+    """A worker of a hundredth of the weight is lost: no other takes over a third of its functions."""
+    workers = fleet(size)
+    heavy = worker(7, size / 100)
+    index = index_of([*workers, heavy])
+    functions = range(6_000)
+    before = firsts(index, functions)
+    lost = [function for function, mark in before.items() if mark == 7]
+    index.remove(heavy)
+    after = firsts(index, functions)
+    heirs = Counter(after[function] for function in lost)
+    assert len(lost) > 30
+    assert heirs.most_common(1)[0][1] <= len(lost) / 3
+    assert len(heirs) > math.sqrt(len(lost))
+
+
+# -- bounds
+
+
+def test_the_second_candidates_of_functions_with_one_first_are_many() -> None:
+    index = index_of(fleet(300))
+    seconds: dict[int, set[int]] = {}
+    for function in range(3_000):
+        first, second, *_ = marks(index, function)
+        seconds.setdefault(first, set()).add(second)
+    assert sum(len(found) for found in seconds.values()) > 2_300  # ten functions a first, few seconds shared
+
+
+@given(SEEDS, st.integers(0, 600), st.integers(0, 80))
+@settings(max_examples=40, deadline=None)
+def test_candidates_are_bounded_and_never_repeat(seed: int, size: int, replicas: int) -> None:
+    workers = [worker(mark) for mark in Random(seed).sample(range(1 << 50), size)]
+    found = marks(index_of(workers), seed, replicas)
+    assert len(found) == len(set(found))
+    assert set(found) <= {one.facts.mark for one in workers}
+    if size <= RANKED_WHOLE:
+        assert len(found) == size
+    else:
+        assert CANDIDATES <= len(found) <= CANDIDATES + replicas
+
+
+def test_an_empty_list_has_no_candidates_and_a_tiny_one_gives_all() -> None:
+    index, ranking = CandidateIndex(), Ranking(1)
+    assert list(ranking.candidates(index, 9)) == []
+    only = worker(5)
+    index.add(only)
+    assert list(ranking.candidates(index, 9)) == [only]
+    index.remove(only)
+    assert list(ranking.candidates(index, 9)) == []
+    assert index.weight == index.memory == 0.0
+
+
+@pytest.mark.parametrize("weight", [1e-300, 1e-12, 1e12, 1e300])
+def test_a_weight_beside_which_others_vanish_still_gives_candidates(weight: float) -> None:
+    index = index_of([*fleet(300), worker(7, weight)])
+    drawn = Counter(firsts(index, range(200)).values())
+    assert drawn[7] == (200 if weight > 1 else 0)
+    for function in range(30):
+        assert len(set(marks(index, function))) >= (1 if weight > 1 else CANDIDATES)
+
+
+def test_one_of_weight_nothing_is_no_candidate_beside_others() -> None:
+    index = index_of([worker(mark, float(mark % 2)) for mark in range(600)])
+    found = {mark for function in range(100) for mark in marks(index, function, 4)}
+    assert found
+    assert all(mark % 2 for mark in found)
+
+
+class OneLeaf(CandidateIndex):
+    """The worst that the hash of ids can do."""
+
+    def _leaf(self, worker: Runner) -> int:
+        return LEAVES + 17
+
+
+def test_nearly_all_leaves_empty_and_all_workers_in_one_leaf() -> None:
+    few = fleet(RANKED_WHOLE + 1)
+    crowded = OneLeaf()
+    for one in few:
+        crowded.add(one)
+    for index in (index_of(few), crowded):
+        assert len(set(firsts(index, range(4_000)).values())) > 250
+        assert {len(marks(index, function)) for function in range(30)} == {CANDIDATES}
+
+
+def test_a_list_that_crosses_256_is_ranked_anew_and_back_as_before() -> None:
+    workers = fleet(RANKED_WHOLE + 5)
+    index = index_of(workers[:RANKED_WHOLE])
+    ranking = Ranking(77)
+    whole = list(ranking.candidates(index, 0))
+    for one in workers[RANKED_WHOLE:]:
+        index.add(one)
+    drawn = [one.facts.mark for one in ranking.candidates(index, 0)]
+    assert drawn == marks(index, 77)
+    assert len(drawn) == CANDIDATES
+    for one in workers[RANKED_WHOLE:]:
+        index.remove(one)
+    assert list(ranking.candidates(index, 0)) == whole
+    assert len(whole) == RANKED_WHOLE
