--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -327,3 +327,17 @@
         index.remove(one)
     assert list(ranking.candidates(index, 0)) == whole
     assert len(whole) == RANKED_WHOLE
+
+
+def test_what_was_found_for_more_replicas_is_not_given_for_fewer() -> None:
+    """A function that shrank looks at no more workers than one that never grew."""
+    index, ranking = index_of(fleet(500)), Ranking(3)
+    assert len(list(ranking.candidates(index, 40))) == CANDIDATES + 40
+    assert [one.facts.mark for one in ranking.candidates(index, 0)] == marks(index, 3)
+    assert len(list(ranking.candidates(index, 0))) == CANDIDATES
+
+
+@pytest.mark.parametrize("size", [RANKED_WHOLE, RANKED_WHOLE + 1])
+def test_workers_that_all_weigh_nothing_are_ranked_all_the_same(size: int) -> None:
+    index = index_of(worker(mark, 0.0) for mark in range(size))
+    assert len(marks(index, 1)) >= CANDIDATES
--- a/tests/test_placement_at_scale.py
+++ b/tests/test_placement_at_scale.py
@@ -344,6 +344,32 @@
     assert not [ref for ref in gone if ref() is not None]
 
 
+def test_replicas_that_a_planner_held_for_a_faded_function_leave_no_state() -> None:
+    """Nobody calls it here; a planner holds it now and then at workers that go soon after."""
+    fleet, (dispatcher,) = fleet_of(300, 1)
+    dispatcher.call(5)
+    fleet.run_for(400 * SECOND)
+    function = dispatcher.functions[5]
+    assert function not in dispatcher.brain.models
+    for mark in range(1000, 1050):
+        dispatcher.tell([line(mark)])
+        dispatcher.border.hold(dispatcher.workers[mark], function, True)
+        fleet.run_for(SECOND)
+        dispatcher.border.hold(dispatcher.workers[mark], function, False)
+        dispatcher.tell([line(mark, io.State.GONE)])
+    fleet.run_for(100 * SECOND)
+    assert not [runner for runner in function.copies if not runner.listed]
+
+
+def test_functions_that_were_asked_about_and_never_called_leave_no_state() -> None:
+    """Requests that wait at the door ask for room again and again, and may give up before they are taken."""
+    fleet, (dispatcher,) = fleet_of(300, 1)
+    for number in range(100):
+        dispatcher.border.room(dispatcher.function(number), dispatcher.settings.offerings[0], False, 0.0)
+    fleet.run_for(1000 * SECOND)
+    assert not dispatcher.brain.models
+
+
 # -- the check, some functions at a time
 
 
@@ -501,3 +527,13 @@
         outcome = replay([load(tmp_path / "x.ckpt"), *rest])
         assert (outcome.divergence, outcome.stopped, outcome.events) == (None, "", len(rest) + 1)
         assert outcome.decisions > 100
+
+
+def test_a_checkpoint_of_many_functions_and_workers_is_written_and_read(tmp_path: Path) -> None:
+    """Functions and workers refer to each other through their replicas: a chain as long as the list."""
+    events = captured(300, 300)
+    place = len(events) - 50
+    checkpoint_between(events[:place], events[place:], tmp_path / "x.ckpt")
+    rest = list(dropwhile(lambda e: not isinstance(e, ev.Input), events[place:]))
+    outcome = replay([load(tmp_path / "x.ckpt"), *rest])
+    assert (outcome.divergence, outcome.stopped, outcome.events) == (None, "", len(rest) + 1)
