Tests: a request goes on along its candidates on long lists, and is rejected where none has room

Cause: the change that lets a request pass a full holder on lists of over 256 workers had no test of its own. Change: both sides of the bound, and the end of the candidates.

--- a/tests/test_placement_at_scale.py
+++ b/tests/test_placement_at_scale.py
@@ -537,3 +537,30 @@
     rest = list(dropwhile(lambda e: not isinstance(e, ev.Input), events[place:]))
     outcome = replay([load(tmp_path / "x.ckpt"), *rest])
     assert (outcome.divergence, outcome.stopped, outcome.events) == (None, "", len(rest) + 1)
+
+
+@pytest.mark.parametrize(("workers", "goes_on"), [(256, False), (257, True)])
+def test_a_request_goes_on_along_its_candidates_where_no_known_holder_has_room(
+    workers: int, goes_on: bool
+) -> None:
+    """Of a short list it is rejected: a load at the next worker would push out what others need."""
+    fleet, (dispatcher,) = fleet_of(workers, 1)
+    holder = dispatcher.call(0)
+    fleet.run_for(SECOND)
+    assert holder is not None
+    dispatcher.workers[holder].next = fleet.now + SECOND  # this dispatcher's share of it is used up
+    following = dispatcher.call(0)
+    ranked = [w.facts.mark for w in dispatcher.brain.shared_order(dispatcher.functions[0])]
+    assert ranked[0] == holder
+    assert following == (ranked[1] if goes_on else None)
+
+
+def test_where_no_candidate_has_room_a_request_is_rejected_at_once() -> None:
+    fleet, (dispatcher,) = fleet_of(1_000, 1)
+    dispatcher.call(0)
+    fleet.run_for(SECOND)
+    for worker in dispatcher.workers.values():
+        worker.next = fleet.now + SECOND
+    finals = dispatcher.finals.copy()
+    assert dispatcher.call(0) is None
+    assert sum((dispatcher.finals - finals).values()) == 1
