An attempt asks its client's socket for an end or a cancel as its line leaves

A client that closes or cancels was heard of when the event loop read it. A busy loop does that late: an attempt, first or further, decided in the turn that the end lay unread in went to a runner, also one whose connection to its runner came up in that turn, and one whose request lay in front of the end.

node/sockets.pending looks for an end behind unread bytes too; RunnerLink.hand_off and Conn.connection_made ask it before a line leaves. An end ends the request there and nothing is sent; bytes are read first, outside of decisions and of the client's own read.

--- a/martenlead/edge/dispatcher.py
+++ b/martenlead/edge/dispatcher.py
@@ -22,6 +22,7 @@
 import structlog
 
 from martenlead.edge.border import Border, Tape
+from martenlead.edge.client import ClientConnection
 from martenlead.edge.waits import within
 from martenlead.interface import (
     Action,
@@ -76,9 +77,22 @@
 
 class Held:
     """A task at the door: what came, and its final answer once there is one. `content` is the door's and the
-    link's: what came, in the form that the link sends on; `answer` is what the link brought back for it."""
-
-    __slots__ = ("answer", "arrived", "content", "done", "final", "size", "task", "wait", "wanted", "why")
+    link's: what came, in the form that the link sends on; `answer` is what the link brought back for it;
+    `client` is the connection that it came over, where that can be asked whether its client has left."""
+
+    __slots__ = (
+        "answer",
+        "arrived",
+        "client",
+        "content",
+        "done",
+        "final",
+        "size",
+        "task",
+        "wait",
+        "wanted",
+        "why",
+    )
 
     def __init__(
         self,
@@ -87,8 +101,10 @@
         content: Any = None,
         size: int = 0,
         done: Callable[[Held], None] | None = None,
+        client: ClientConnection | None = None,
     ) -> None:
         self.wanted, self.arrived = wanted, arrived
+        self.client = client
         self.content, self.size = content, size
         self.task: Task | None = None
         self.final: Final | None = None
@@ -436,11 +452,12 @@
         size: int = 0,
         again: bool | None = None,
         done: Callable[[Held], None] | None = None,
+        client: ClientConnection | None = None,
     ) -> Held:
         """Makes a task known to the module. The door has checked the names and the limits, and calls `over`
         once the final answer, which `done` is told of, is on its way. `again` goes before what `wanted`
         says."""
-        held = Held(wanted, arrived, content, size, done)
+        held = Held(wanted, arrived, content, size, done, client)
         known = self.known(wanted.model, wanted.lanes, wanted.memory_mb)
         limit = self.hard[wanted.offering]
         left = limit if wanted.left is None else min(wanted.left, limit)
--- a/martenlead/node/door.py
+++ b/martenlead/node/door.py
@@ -6,12 +6,14 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from typing import Any
 
 import anyio
 
+from martenlead.edge.client import Pending
 from martenlead.edge.dispatcher import Dispatcher, Final, Held, Wanted
-from martenlead.node import rpc
+from martenlead.node import rpc, sockets
 from martenlead.node.rpc import BadCall, Call
 from martenlead.node.sockets import readable
 
@@ -24,6 +26,7 @@
 IDLE = 5_000 * MS  # clients close after 4 s themselves
 SLOW = 2_500 * MS  # a client that reads nothing for so long has left
 SWEEP = 250 * MS
+READ, READS = 262_144, 4  # bytes of one read between two turns of the loop, and how many follow each other
 
 
 class Client(asyncio.Protocol):
@@ -83,6 +86,36 @@
     def resume_writing(self) -> None:
         self.stuck = 0
 
+    # -- the link's, before an attempt of its leaves
+
+    def pending(self) -> Pending:
+        return Pending.END if self.over else sockets.pending(self.transport)
+
+    def read_pending(self) -> None:
+        """The event loop finds the socket empty, or ended, when it comes to it."""
+        try:
+            for _ in range(READS):
+                if self.pending() is not Pending.BYTES:
+                    break
+                data = os.read(sockets.descriptor(self.transport), READ)
+                if not data:
+                    self.close()
+                    return
+                self.data_received(data)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.close()
+        except Exception as error:
+            self.door.dispatcher.fault(error)
+            self.close()
+        if self.pending() is Pending.END:
+            self.close()
+
+    def leave(self, held: Held) -> None:
+        self.close()
+        self.door.leave(held)  # one that is being taken is not among the open ones yet
+
     # -- ours
 
     def write(self, data: bytes) -> None:
@@ -152,10 +185,13 @@
     def left(self, client: Client) -> None:
         self.clients.pop(client, None)
         for held in list(client.open.values()):
-            self._leave(held)
+            self.leave(held)
         client.open.clear()
 
-    def _leave(self, held: Held) -> None:
+    def leave(self, held: Held) -> None:
+        """Its client waits for it no more."""
+        if held.final is not None:
+            return
         held.done = held.content = None
         self._spend(held.wanted.id)
         held.end(Final.LEFT)
@@ -227,7 +263,7 @@
                 del client.open[number]
                 if held.task is not None and held.task.hand_offs:
                     client.counted.append(now + held.task.offering.soft_limit)
-                self._leave(held)
+                self.leave(held)
                 return
 
     def _take(self, client: Client, call: Call, now: int, over: bool) -> None:
@@ -271,7 +307,7 @@
             dispatcher.later(dispatcher.over, held)
 
         # an answer may come before `take` has returned
-        held = dispatcher.take(wanted, now, call, size, done=done)
+        held = dispatcher.take(wanted, now, call, size, done=done, client=client)
         if held.final is None:
             client.open[number] = held
             self.ids[call.id] = held
--- a/martenlead/node/runners.py
+++ b/martenlead/node/runners.py
@@ -7,6 +7,9 @@
 What is proven: as long as the connection has not come up, nothing ran. Once a line was written it may have
 run, whatever follows, until the runner's own word says otherwise. What waited for its connection is asked
 once more whether it may still leave: by then its task may be over, or its runner told as draining or gone.
+
+A busy event loop learns late that a client has closed or cancelled. So each attempt asks its client's socket
+as its line would leave: where an end waits there it does not, where bytes wait they are read first.
 """
 
 from __future__ import annotations
@@ -19,6 +22,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from martenlead.edge.client import Pending
 from martenlead.edge.dispatcher import Box, Dispatcher, Held, Known, Out
 from martenlead.edge.waits import within
 from martenlead.interface import Result, Warmth
@@ -58,9 +62,19 @@
 
     def late(self) -> str:
         """Why it may not leave any more, or nothing."""
-        if self.held is not None and self.held.final is not None:
-            return "its task is over"
-        return "" if self.box.up else "the runner drains or is gone"
+        return why_late(self.held, self.box)
+
+    def hear_client(self) -> None:
+        """What its client has sent since, be it the end, is read."""
+        if self.held is not None and self.held.client is not None:
+            self.held.client.read_pending()
+
+
+def why_late(held: Held | None, box: Box) -> str:
+    """Why an attempt, or an order where `held` is None, may not leave after a wait, or nothing."""
+    if held is not None and held.final is not None:
+        return "its task is over"
+    return "" if box.up else "the runner drains or is gone"
 
 
 class Conn(asyncio.Protocol):
@@ -79,6 +93,8 @@
     # -- the event loop's side
 
     def connection_made(self, transport: Any) -> None:
+        for sent in list(self.open.values()):
+            sent.hear_client()  # first: what follows from it may still be taken from this connection
         self.transport = transport
         if self not in self.way.conns:
             transport.abort()  # given up in the turn that it came up in: all that waited was told as unsent
@@ -218,6 +234,7 @@
         self.dispatcher: Dispatcher
         self.ways: set[Way] = set()
         self._group: TaskGroup
+        self._deferred: dict[Out, None] = {}  # attempts whose clients have bytes to be read first
         self._heap: list[tuple[int, int, Sent]] = []
         self._count = 0
         self._timer: asyncio.TimerHandle | None = None
@@ -262,6 +279,38 @@
     # -- hand-offs and orders
 
     def hand_off(self, out: Out) -> None:
+        client = out.held.client
+        pending = client.pending() if client is not None else Pending.NOTHING
+        if client is not None and pending is Pending.END:
+            client.leave(out.held)
+            self.dispatcher.ended(out, Heard(Result.NOT_SENT, why="its client has left"))
+        elif pending is Pending.BYTES:
+            self._defer(out)
+        else:
+            self._attempt(out)
+
+    def _defer(self, out: Out) -> None:
+        """To the next turn: in the middle of a decision, or of that client's own read, nothing is read."""
+        self._deferred[out] = None
+        if len(self._deferred) == 1:
+            asyncio.get_running_loop().call_soon(self._send_deferred)
+
+    def _send_deferred(self) -> None:
+        for out in list(self._deferred):
+            if out.held.client is not None:
+                out.held.client.read_pending()
+            if out not in self._deferred:
+                continue  # called off by what was read
+            del self._deferred[out]
+            why = why_late(out.held, out.box)
+            if why:
+                self.dispatcher.ended(out, Heard(Result.NOT_SENT, why=why))
+            else:
+                self._attempt(out)
+        if self._deferred:
+            asyncio.get_running_loop().call_soon(self._send_deferred)
+
+    def _attempt(self, out: Out) -> None:
         hand_off, call = out.hand_off, out.held.content
         assert isinstance(call, Call)
         now = self.clock()
@@ -280,6 +329,10 @@
         self._send(sent, call.met)
 
     def call_off(self, out: Out) -> None:
+        if out in self._deferred:
+            del self._deferred[out]
+            self.dispatcher.ended(out, Heard(Result.NOT_SENT, why="called off"))
+            return
         sent: Sent | None = out.at
         conn = sent.conn if sent is not None else None
         if sent is None or conn is None or conn.open.get(sent.txn) is not sent:
--- /dev/null
+++ b/tests/test_client_gone.py
@@ -0,0 +1,221 @@
+"""A client that has closed or cancelled gets no attempt any more, also before the event loop has read it.
+
+Each test puts the client's leaving into the machine without a turn of the loop between it and the attempt, as
+where the loop was busy for long. So no figure of time is needed: on the code before, the attempt leaves.
+"""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+
+from martenlead.interface import Result
+from martenlead.node.runners import Conn
+from tests.fleet import until
+from tests.nodes import Caller, Part, Play, done, message, play, says
+
+pytestmark = pytest.mark.anyio
+LEAVES = ("abort", "half close", "close", "reset")
+full = says("WAIT", "")
+
+
+@pytest.fixture(params=[False, True], ids=["asyncio", "uvloop"])
+def anyio_backend(request: Any) -> Any:
+    return "asyncio", {"use_uvloop": request.param}
+
+
+class Blocking(Caller):
+    """A client whose calls are done when they return, without a turn of the event loop."""
+
+    def __init__(self, p: Play) -> None:
+        super().__init__(None)  # type: ignore[arg-type]
+        self.socket = socket.create_connection(("127.0.0.1", p.port))
+
+    def put(self, data: bytes) -> None:
+        self.socket.sendall(data)
+
+    def leave(self, how: str) -> None:
+        match how:
+            case "abort":
+                about = {"id": self.number}
+                self.put(message({"jsonrpc": "2.0", "method": "abort", "params": about}))
+            case "half close":
+                self.socket.shutdown(socket.SHUT_WR)
+            case "close":
+                self.socket.close()
+            case "reset":
+                self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                self.socket.close()
+
+
+async def warm(p: Play) -> None:
+    """To each runner a connection stands idle, so that an attempt's line leaves as it is decided."""
+    heard: list[Any] = []
+    known = p.node.dispatcher.known("0" * 15 + "1", 1, 100.0)
+    for box in p.node.dispatcher.boxes.values():
+        p.node.link.order(box, known, 0, heard.append)
+    await until(lambda: len(heard) == len(p.node.dispatcher.boxes))
+
+
+def before_attempt(p: Play, which: int, act: Callable[[], None]) -> None:
+    """Does this as the attempt of that place, from 0, has been decided."""
+    real, count = p.node.link.hand_off, [0]
+
+    def hand_off(out: Any) -> None:
+        if count[0] == which:
+            act()
+        count[0] += 1
+        real(out)
+
+    p.node.link.hand_off = hand_off  # type: ignore[method-assign]
+
+
+async def is_over(p: Play) -> None:
+    """The request was given up, nothing is out, and the node still serves."""
+    await until(lambda: p.node.dispatcher.counts["final", "left"] == 1)
+    await until(lambda: not p.node.dispatcher._out and not p.node.dispatcher.held)
+    assert await (await p.client()).call(id="00000000000000bb") == "satisfied"
+
+
+def attempts(p: Play) -> list[str]:
+    return [line for line in p.did() if not line.endswith("bb")]
+
+
+@pytest.mark.parametrize("how", LEAVES)
+async def test_left_as_the_first_attempt_begins(how: str, tmp_path: Path) -> None:
+    async with play(tmp_path) as p:
+        await warm(p)
+        client = Blocking(p)
+        before_attempt(p, 0, lambda: client.leave(how))
+        client.put(client.task("unsafe"))
+        await until(lambda: p.node.dispatcher.counts["final", "left"] == 1)
+        assert await (await p.client()).call() == "error -32602"  # its id is spent
+        assert attempts(p) == []
+        assert not p.node.dispatcher._out and not p.node.door.ids
+        assert p.node.dispatcher.counts["hand-off", Result.NOT_SENT.value] == 1
+        client.socket.close()
+
+
+@pytest.mark.parametrize("how", ["half close", "close"])
+async def test_the_end_lies_behind_a_request_that_is_read_late(how: str, tmp_path: Path) -> None:
+    """As where no descriptor was left to accept the connection with until its client had given up."""
+    async with play(tmp_path) as p:
+        await warm(p)
+        client = Blocking(p)
+        client.put(client.task("unsafe"))
+        client.leave(how)
+        await until(lambda: f"{1:016x}" in p.node.door.spent)
+        await until(lambda: not p.node.dispatcher._out)
+        assert attempts(p) == []
+        client.socket.close()
+
+
+@pytest.mark.parametrize("how", LEAVES)
+async def test_left_as_a_further_attempt_begins(how: str, tmp_path: Path, monkeypatch: Any) -> None:
+    """The runner's answer is read in the turn that the end of the client came in, before it."""
+    async with play(tmp_path, {"a": [full, done], "b": [full, done]}) as p:
+        client, real = Blocking(p), Conn.data_received
+
+        def data_received(conn: Conn, data: bytes) -> None:
+            if p.node.dispatcher.held and client.socket.fileno() >= 0 and not left:
+                left.append(client.leave(how))
+            real(conn, data)
+
+        left: list[None] = []
+        monkeypatch.setattr(Conn, "data_received", data_received)
+        await warm(p)  # after it: the faster event loop keeps what it calls of a connection
+        client.put(client.task())
+        await is_over(p)
+        assert len(attempts(p)) == 1
+        client.socket.close()
+
+
+@pytest.mark.parametrize("how", LEAVES)
+async def test_left_as_the_connection_to_the_runner_is_up(how: str, tmp_path: Path, monkeypatch: Any) -> None:
+    async with play(tmp_path) as p:
+        client, real = Blocking(p), Conn.connection_made
+
+        def connection_made(conn: Conn, transport: Any) -> None:
+            if not left:
+                left.append(client.leave(how))
+            real(conn, transport)
+
+        left: list[None] = []
+        monkeypatch.setattr(Conn, "connection_made", connection_made)
+        client.put(client.task("unsafe"))
+        await is_over(p)
+        assert attempts(p) == []
+        client.socket.close()
+
+
+@pytest.mark.parametrize("how", LEAVES)
+async def test_a_client_that_is_behind_in_reading_has_left_as_a_further_attempt_begins(
+    how: str, tmp_path: Path
+) -> None:
+    answered = anyio.Event()
+
+    async def later(*its: Any) -> None:
+        await answered.wait()
+        await full(*its)
+
+    part: Part = later
+    async with play(tmp_path, {"a": [part, done], "b": [part, done]}) as p:
+        await warm(p)
+        client = Blocking(p)
+        await until(lambda: p.node.door.clients)
+        (own,) = p.node.door.clients
+        client.put(client.task())
+        await until(p.did)
+        own.write(b" " * 8_000_000)  # more than the machine's buffers hold
+        await until(lambda: own.stuck)
+        before_attempt(p, 0, lambda: client.leave(how))
+        answered.set()
+        await is_over(p)
+        assert len(attempts(p)) == 1
+        client.socket.close()
+
+
+async def test_bytes_before_an_attempt_that_are_no_cancel_cost_it_nothing(tmp_path: Path) -> None:
+    """Half of a request, then whole ones: each is taken once, in its order, and answered once."""
+    async with play(tmp_path, {"a": [done], "b": [done]}) as p:
+        client = Blocking(p)
+        first, second, third = client.task(), client.task(), client.task()
+        before_attempt(p, 0, lambda: client.put(second[:40]))
+        client.put(first)
+        await until(lambda: p.did())
+        before_attempt(p, 0, lambda: client.put(third))
+        client.put(second[40:])
+        client.socket.setblocking(False)
+        got = b""
+        with anyio.fail_after(5):
+            while got.count(b'"result"') < 3:
+                await anyio.wait_readable(client.socket)
+                got += (data := client.socket.recv(4096))
+                assert data
+        assert sorted(line[-2:] for line in p.did()) == ["01", "02", "03"]
+        assert p.node.dispatcher.counts["final", "left"] == 0
+        client.socket.close()
+
+
+async def test_an_attempt_that_waits_for_bytes_to_be_read_is_sent_to_no_runner_that_goes_meanwhile(
+    tmp_path: Path,
+) -> None:
+    async with play(tmp_path) as p:
+        client = Blocking(p)
+        (box,) = p.node.dispatcher.boxes.values()
+
+        def goes() -> None:
+            client.put(b"Content")
+            box.gone = True
+
+        before_attempt(p, 0, goes)
+        client.put(client.task("unsafe"))
+        await until(lambda: p.node.dispatcher.counts["final", "turned back"] == 1)
+        assert attempts(p) == []
+        client.socket.close()
