A listener of our own accepts clients only as descriptors are left for them

The event loop's server accepted whatever came. With no descriptor left uvloop accepts and closes all who wait, requests and all (probe: 73 of 120 connections under a limit of 64, none of them answered). It also called listen with its default backlog of 100 over the 512 asked for, so that in a flood connections did not come up. Clients that had left before they read kept descriptors that no bound counted, and each worker had one connection at least, also beyond the workers' share.

node/listener.py accepts while clients, those that are closing among them, hold less than their share and 8; what is not accepted waits in the backlog of 512. Without a descriptor it tries again after 50 ms.

--- a/martenlead/node/door.py
+++ b/martenlead/node/door.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import os
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -78,6 +79,7 @@
         self.over = True
         self.door.left(self)
         self.door.closing.pop(self, None)
+        self.door.place_freed()
 
     def pause_writing(self) -> None:
         """It goes on being read: that it takes a task back, or leaves, stands there."""
@@ -157,6 +159,7 @@
         self.ids: dict[str, Held] = {}  # of the tasks open here
         self.spent: dict[str, None] = {}  # ids of tasks that are over, the oldest first
         self.closing: dict[Client, int] = {}  # what was written to them has yet to leave; since when
+        self.place_freed: Callable[[], None] = lambda: None  # the listener's: a connection has ended
 
     async def run(self) -> None:
         """Until cancelled: ends what stands too long."""
@@ -168,9 +171,14 @@
         now = self.dispatcher.clock()
         for client in [c for c in self.clients if c.idle(now)]:
             client.close()
-        for client in [c for c, since in self.closing.items() if now - since > SLOW]:
+        patience = SLOW if self.descriptors() < self.connections else SWEEP
+        for client in [c for c, since in self.closing.items() if now - since > patience]:
             client.transport.abort()
 
+    def descriptors(self) -> int:
+        """That clients hold, those whose connections are being closed among them."""
+        return len(self.clients) + len(self.closing)
+
     def joined(self, client: Client) -> None:
         """A place for everyone who speaks: the oldest that never did gives way, else the longest idle, else
         the new one."""
--- a/martenlead/node/runners.py
+++ b/martenlead/node/runners.py
@@ -382,13 +382,23 @@
         if idle is not None:
             return idle
         most = min(MOST, max(1, self.sockets // max(1, len(self.ways))))
-        if len(way.conns) >= most:
+        if len(way.conns) >= most or not self._has_room():
             return busy
         conn = Conn(self, way)
         way.conns.add(conn)
         self._group.start_soon(self._connect, conn)
         return conn
 
+    def _has_room(self) -> bool:
+        """Whether one more connection may be made: at the bound, the one idle for longest gives way."""
+        if sum(way.open for way in self.ways) < self.sockets:
+            return True
+        conns = (conn for way in self.ways for conn in way.conns)
+        idle = [conn for conn in conns if not conn.open and conn.transport is not None]
+        if idle:
+            min(idle, key=lambda conn: conn.since).end()
+        return bool(idle)
+
     async def _connect(self, conn: Conn) -> None:
         way = conn.way
         way.opened += 1
--- a/martenlead/node/serve.py
+++ b/martenlead/node/serve.py
@@ -22,7 +22,8 @@
 from martenlead.edge.dispatcher import Dispatcher
 from martenlead.edge.waits import within
 from martenlead.node import config
-from martenlead.node.door import Client, Door
+from martenlead.node.door import Door
+from martenlead.node.listener import BACKLOG, Listener
 from martenlead.node.roster import JournalSource
 from martenlead.node.runners import RunnerLink
 from martenlead.node.sockets import readable
@@ -71,38 +72,36 @@
                 group.start_soon(self.door.run)
                 await self.dispatcher.listed.wait()
                 host, port = self.told.listen
-                listener = await self._listen()
-                server = await loop.create_server(lambda: Client(self.door), sock=listener)
+                listener = Listener(await self._listen(), self.door)
+                listener.start()
                 self.log.info("serves", host=host, port=port)
                 if started is not None:
                     started()
                 for number in early:
-                    self._got(signal.Signals(number), group, listener, server)
+                    self._got(signal.Signals(number), group, listener)
                 async for got in signals:
-                    self._got(got, group, listener, server)
+                    self._got(got, group, listener)
 
     async def _listen(self) -> socket.socket:
         """Bound here: the loop would look up its own address on four threads, which then stay. An old life
         may have it as long as it may live after SIGTERM, and a second to be ended in. Raises OSError."""
         for _ in range(round((KILLED + KILLED_MOST + 1) / AGAIN)):
             try:
-                return socket.create_server(self.told.listen, backlog=512)
+                return socket.create_server(self.told.listen, backlog=BACKLOG)
             except OSError as error:
                 if error.errno != errno.EADDRINUSE:
                     raise
                 await anyio.sleep(AGAIN)
-        return socket.create_server(self.told.listen, backlog=512)
+        return socket.create_server(self.told.listen, backlog=BACKLOG)
 
-    def _got(
-        self, got: signal.Signals, group: TaskGroup, listener: socket.socket, server: asyncio.Server
-    ) -> None:
+    def _got(self, got: signal.Signals, group: TaskGroup, listener: Listener) -> None:
         """The roster is followed to the end, so that it may move while the stop goes on."""
         if got is signal.SIGHUP:
             self.reload()
         elif not self.stopping:
             self.stopping = True
             self.log.info("stops", held=len(self.dispatcher.held))
-            group.start_soon(self._stop, group, listener, server)
+            group.start_soon(self._stop, group, listener)
 
     def _fault(self, _loop: asyncio.AbstractEventLoop, told: dict[str, Any]) -> None:
         """Of a callback of the event loop: it costs one connection, and is told as any fault of ours is."""
@@ -121,7 +120,7 @@
         self.source.move(told.journal)
         self.log.info("the configuration was read again", journal=told.journal)
 
-    async def _stop(self, group: TaskGroup, listener: socket.socket, server: asyncio.Server) -> None:
+    async def _stop(self, group: TaskGroup, listener: Listener) -> None:
         """Clients still come for a while, and all that was taken is answered, by the time of a kill at the
         latest. What the machine has accepted counts as taken: no connection in the backlog and no bytes of a
         client are left behind."""
@@ -131,13 +130,14 @@
         clients = min(STOPPING, last - LEAVING)
         await anyio.sleep(clients)
         with within(last - clients):
-            while readable(listener):
+            while readable(listener.sock):
+                await anyio.sleep(0.005)
+            listener.close()
+            while listener.accepting:  # what was accepted last has yet to be made a client
                 await anyio.sleep(0.005)
-            server.close()
-            await anyio.sleep(0.01)  # what was accepted last has yet to be made a client
             while dispatcher.held or any(readable(client.transport) for client in door.clients):
                 await anyio.sleep(0.01)
-        server.close()
+        listener.close()
         dispatcher.hasten()
         for client in list(door.clients):
             client.close()
