Readiness without discovery and requests that are cut off are tested on real connections

All of it was right: these tests guard it. The listener takes at most 32 connections a turn, so that a flood of them leaves time for the rest. tests/apart.py starts a node in a process of its own; test_descriptors uses it now.

--- a/martenlead/node/listener.py
+++ b/martenlead/node/listener.py
@@ -14,6 +14,7 @@
 
 BACKLOG = 512  # connections that the machine accepts before we do
 RETRY = 0.05  # s between two tries where the machine had no descriptor or memory to accept with
+ACCEPTED = 32  # connections of one turn of the loop, so that a flood of them leaves time for all else
 SPARE = 8  # descriptors beyond the clients' share, for those that come while others give way
 
 
@@ -41,7 +42,10 @@
             self.sock.close()
 
     def _accept(self) -> None:
-        while self.door.descriptors() + len(self.accepting) < self.door.connections + SPARE:
+        for _ in range(ACCEPTED):
+            if self.door.descriptors() + len(self.accepting) >= self.door.connections + SPARE:
+                self._pause()
+                return
             try:
                 connection, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
@@ -53,7 +57,6 @@
             task = self._loop.create_task(self._connect(connection))
             self.accepting.add(task)
             task.add_done_callback(self._connected)
-        self._pause()
 
     async def _connect(self, connection: socket.socket) -> None:
         try:
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -1,109 +1,27 @@
-"""Clients fill the descriptors of a node that has few: who asks is served, workers and discovery come back.
-
-The node runs in a process of its own, under a limit that is set in that process alone.
-"""
+"""Clients fill the descriptors of a node that has few: who asks is served, workers and discovery return."""
 
 from __future__ import annotations
 
-import os
 import resource
 import signal
-import socket
-import sys
-from collections.abc import AsyncIterator
-from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 from typing import Any
 
 import anyio
 import pytest
-from anyio.abc import Process, SocketAttribute
 
 from martenlead.interface import Result
+from tests.apart import DESCRIPTORS, apart, serve_at
 from tests.fleet import until
-from tests.nodes import Journal, Play, done, message, play, word
+from tests.nodes import done, play, word
 
 pytestmark = pytest.mark.anyio
-DESCRIPTORS = 96
-ROOT = Path(__file__).parent.parent
-LIMITED = f"ulimit -n {DESCRIPTORS}; exec {sys.executable} -m martenlead.node"
-PING = message({"jsonrpc": "2.0", "id": 1, "method": "ping", "params": {}})
-
-
-class Apart(Play):
-    """Peers in this process, the node in its own."""
-
-    process: Process
-
-    def held(self) -> int:
-        """Descriptors that the node has open."""
-        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
-
-    def connect(self, count: int) -> list[socket.socket]:
-        """At once, whether the node accepts them yet or not."""
-        made = [socket.socket() for _ in range(count)]
-        for one in made:
-            one.setblocking(False)
-            one.connect_ex(("127.0.0.1", self.port))
-        return made
-
-    async def came_up(self, within: float) -> None:
-        """Asks for it as a platform does: until it answers that it is up."""
-        with anyio.fail_after(within):
-            while True:
-                try:
-                    client = await self.client()
-                    await client.send(PING)
-                    told = await client.answer()
-                    if told is not None and told["result"]["up"]:
-                        return
-                except OSError:
-                    pass
-                await anyio.sleep(0.01)
-
-
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
-async def ended(process: Process) -> None:
-    process.kill()
-    with anyio.CancelScope(shield=True):
-        await process.wait()
-
-
-@asynccontextmanager
-async def apart(tmp_path: Path, runners: str = "a") -> AsyncIterator[Apart]:
-    """A node that serves, whose journal service is down. It is ended as the test ends."""
-    p = Apart()
-    p.path = tmp_path / "config.json"
-    p.port, p.journal.port = free_port(), free_port()
-    async with anyio.create_task_group() as p.group, AsyncExitStack() as stack:
-        for name in runners:
-            await p.runner(name, done)
-        p.write(p.journal.port, limits={"cores": 1.0, "memory_mb": 64, "sockets": DESCRIPTORS})
-        environment = {**os.environ, "ROUTER_CONFIG": str(p.path)}
-        p.process = await anyio.open_process(
-            ["/bin/sh", "-c", LIMITED], cwd=ROOT, env=environment, stdout=None, stderr=None
-        )
-        stack.push_async_callback(ended, p.process)
-        await p.came_up(10)
-        yield p
-        p.group.cancel_scope.cancel()
-
-
-async def serve_at(journal: Journal) -> None:
-    """The journal service comes back, at the address that it had."""
-    listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=journal.port)
-    assert listener.extra(SocketAttribute.local_port) == journal.port
-    await listener.serve(journal.connected)
 
 
 async def test_idle_clients_that_come_at_once_cost_no_one_who_asks_an_answer(tmp_path: Path) -> None:
     """All of them wait to be accepted as the loop turns: more than descriptors, or a usual backlog of 100."""
     async with apart(tmp_path) as p:
+        await p.came_up(10)
         p.process.send_signal(signal.SIGSTOP)
         idle = p.connect(200)
         with anyio.fail_after(5):
@@ -144,8 +62,9 @@
 async def test_without_a_descriptor_who_asks_waits_and_is_served_once_there_is_one(tmp_path: Path) -> None:
     """Neither the client's connection, nor one to a worker, nor one to the journal service can be made."""
     async with apart(tmp_path) as p:
+        await p.came_up(10)
         pid, before = p.process.pid, resource.prlimit(p.process.pid, resource.RLIMIT_NOFILE)
-        resource.prlimit(pid, resource.RLIMIT_NOFILE, (p.held(), before[1]))
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (3, before[1]))  # those it has open it keeps
         client = await p.client()
         await client.ask()
         p.group.start_soon(serve_at, p.journal)
@@ -175,6 +94,7 @@
     tmp_path: Path,
 ) -> None:
     async with apart(tmp_path) as p:
+        await p.came_up(10)
         idle = p.connect(200)
         await until(lambda: p.held() > DESCRIPTORS // 3)
         p.group.start_soon(serve_at, p.journal)
--- /dev/null
+++ b/tests/test_interruptions.py
@@ -0,0 +1,129 @@
+"""What is cut into pieces, told twice, or breaks off and falls silent: each request has its one answer."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+from anyio.abc import SocketAttribute, SocketStream
+
+from tests.fleet import until
+from tests.nodes import BROKEN, done, frame, play, raw, word
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture(params=[False, True], ids=["asyncio", "uvloop"])
+def anyio_backend(request: Any) -> Any:
+    return "asyncio", {"use_uvloop": request.param}
+
+
+async def test_requests_in_pieces_of_one_byte(tmp_path: Path) -> None:
+    """Each byte is read alone: the next is written once the node has the one before."""
+    async with play(tmp_path) as p:
+        client = await p.client()
+        await until(lambda: p.node.door.clients)
+        (own,) = p.node.door.clients
+        pieces: list[int] = []
+        feed = own.frames.feed
+        own.frames.feed = lambda data: pieces.append(len(data)) or feed(data)
+        first, second = client.task("unsafe"), client.task("unsafe")
+        for at, byte in enumerate(first + second):
+            await client.send(bytes([byte]))
+            await until(lambda at=at: len(pieces) > at)  # type: ignore[misc]
+            assert len(p.did()) <= (at + 1) // len(first)
+        assert set(pieces) == {1}
+        told = [await client.answer() or {} for _ in range(2)]
+        assert [(t["id"], word(t)) for t in told] == [(1, "satisfied"), (2, "satisfied")]
+        assert len(p.did()) == 2
+
+
+async def test_the_whole_list_again_while_attempts_are_out(tmp_path: Path) -> None:
+    """The same one touches nothing; one that lacks a runner lets what is out there end, and sends no more."""
+    gone = anyio.Event()
+
+    async def held(*its: Any) -> None:
+        await gone.wait()
+        await done(*its)
+
+    async with play(tmp_path, {"a": [held, done], "b": [held, done]}) as p:
+        await until(lambda: p.journal.streams)
+        clients = [await p.client() for _ in range(2)]
+        for number, client in enumerate(clients):
+            client.number = number * 100
+            await client.ask("unsafe", wait=1900, key=f"{number:016x}")
+        await until(lambda: len(p.did()) == 2)
+        boxes = dict(p.node.dispatcher.boxes)
+        await p.journal.tell(p.record("a"), p.record("b"), kind=1)
+        await until(lambda: p.node.source.list.version == 2)
+        assert p.node.dispatcher.boxes == boxes and len(p.node.dispatcher._out) == 2
+        await p.journal.tell(p.record("b"), kind=1)
+        await until(lambda: p.node.source.list.version == 3)
+        gone.set()
+        assert [word(await client.answer()) for client in clients] == ["satisfied"] * 2
+        before = len(p.did())
+        for _ in range(3):
+            assert await clients[0].call("unsafe") == "satisfied"
+        assert {line[0] for line in p.did()[before:]} == {"b"}
+        assert not p.did("UNDO")
+
+
+async def test_a_silence_of_the_journal_that_begins_after_a_cut(tmp_path: Path, monkeypatch: Any) -> None:
+    """It breaks off inside an event; asked again it accepts, and says nothing at all: it is asked again."""
+    monkeypatch.setattr("martenlead.node.roster.QUIET", 0.4)
+    asked: list[int] = []  # of the silent one
+
+    async def connected(stream: SocketStream) -> None:
+        if asked:
+            await p.journal.connected(stream)
+            return
+        async with stream:
+            asked.append(int.from_bytes(await stream.receive(8), "big"))
+            with suppress(*BROKEN):
+                await stream.receive()  # until it is left
+
+    async with play(tmp_path) as p:
+        await until(lambda: p.journal.streams)
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        p.group.start_soon(listener.serve, connected)
+        await p.runner("b", done)
+        event = frame(2, 2, p.record("b"))
+        p.journal.events.append(event)
+        p.node.source.at = ("127.0.0.1", listener.extra(SocketAttribute.local_port))
+        cut = p.journal.streams.pop()
+        await cut.send(event[:20])
+        await cut.aclose()
+        await until(lambda: len(p.node.dispatcher.boxes) == 2)
+        assert (asked, p.journal.asked) == ([1], [1, 1])  # the silent one, and the one behind it
+
+
+@pytest.mark.parametrize("method", ["safe", "unsafe"])
+async def test_a_silence_of_runners_that_begins_after_a_cut(method: str, tmp_path: Path) -> None:
+    """Connections are reset under their requests, and new ones never come up: one answer each, in time."""
+    reset = raw(b"", reset=True)
+    async with play(tmp_path, {"a": [reset], "b": [reset]}) as p:
+        clients = [await p.client() for _ in range(4)]
+
+        async def never(conn: Any) -> None:
+            await anyio.sleep(p.node.link.told.connect / 1e9)
+            conn.end("no connection in time")
+
+        for number, client in enumerate(clients):
+            client.number = number * 10
+            await client.ask(method, wait=1500)
+            if number == 0:
+                await until(p.did)
+                p.node.link._connect = never  # type: ignore[method-assign]
+        before = anyio.current_time()
+        told = [word(await client.answer()) for client in clients]
+        assert anyio.current_time() - before < 1.8
+        assert set(told) <= {"turned back", "error -32000"}
+        assert len(p.did()) <= 2
+        await until(lambda: not p.node.dispatcher._out and not p.node.dispatcher.held)
+        for client in clients:
+            with anyio.move_on_after(0.02) as scope:
+                await client.answer()  # no second one
+            assert scope.cancelled_caught
