Clients that leave while a node stands still are tested end to end

A node in a process of its own is stopped; clients ask and cancel, half close, close or reset; it goes on, and one that stayed asks as well.

--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import signal
 import socket
 import struct
 from collections.abc import Callable
@@ -17,8 +18,9 @@
 
 from martenlead.interface import Result
 from martenlead.node.runners import Conn
+from tests.apart import apart
 from tests.fleet import until
-from tests.nodes import Caller, Part, Play, done, message, play, says
+from tests.nodes import Caller, Part, Play, done, message, play, says, word
 
 pytestmark = pytest.mark.anyio
 LEAVES = ("abort", "half close", "close", "reset")
@@ -219,3 +221,24 @@
         await until(lambda: p.node.dispatcher.counts["final", "turned back"] == 1)
         assert attempts(p) == []
         client.socket.close()
+
+
+async def test_who_left_while_the_node_stood_still_gets_no_attempt(tmp_path: Path) -> None:
+    """A process apart, stopped as they come, ask and leave; who stays is served."""
+    async with apart(tmp_path) as p:
+        await p.came_up(10)
+        assert await (await p.client()).call(id="00000000000000bb") == "satisfied"  # a connection stands idle
+        p.process.send_signal(signal.SIGSTOP)
+        clients = [Blocking(p) for _ in LEAVES]
+        for number, (client, how) in enumerate(zip(clients, LEAVES, strict=True)):
+            client.number = number * 10
+            client.put(client.task("unsafe"))
+            client.leave(how)
+        stays = await p.client()
+        await stays.ask(id="00000000000000cc")
+        p.process.send_signal(signal.SIGCONT)
+        assert word(await stays.answer()) == "satisfied"
+        assert await (await p.client()).call(id="00000000000000dd") == "satisfied"
+        assert [line[-2:] for line in p.did()] == ["bb", "cc", "dd"]
+        for client in clients:
+            client.socket.close()
