Scale measurements: one hollow dispatcher at a stated size

What a dispatcher costs at the size to design for was only known from a probe outside the project. The program's own dispatcher, policy, membership codecs and configuration reader now run without sockets in virtual time; one record a role gives CPU, memory by part, bytes, longest step and cold starts, with bounds on wall time and memory.

--- /dev/null
+++ b/benchmarks/scale/__main__.py
@@ -0,0 +1,112 @@
+"""Command line of the scale measurements."""
+
+from __future__ import annotations
+
+import math
+import sys
+from time import monotonic
+from typing import Any
+
+import click
+
+from benchmarks.scale.measure import Run, measure_one
+from benchmarks.scale.records import line
+from benchmarks.scale.sizes import Assumptions, BadSize, FleetSize
+
+
+class Positive(click.ParamType[Any]):
+    """A finite number above zero; whole where `whole` says so."""
+
+    name = "number"
+
+    def __init__(self, whole: bool) -> None:
+        self.whole = whole
+
+    def convert(self, value: Any, param: click.Parameter | None, ctx: click.Context | None) -> Any:
+        try:
+            number = float(value)
+        except ValueError:
+            number = math.nan
+        if not math.isfinite(number) or number <= 0 or (self.whole and number != int(number)):
+            kind = "a whole number" if self.whole else "a number"
+            self.fail(f"{value!r} is not {kind} above zero")
+        return int(number) if self.whole else number
+
+
+COUNT, NUMBER = Positive(whole=True), Positive(whole=False)
+DEFAULT = FleetSize()
+
+
+def common(command: Any) -> Any:
+    """Options of every command."""
+    for option in (
+        click.option("--seed", type=click.IntRange(0), default=1, show_default=True),
+        click.option("--limit-seconds", type=NUMBER, default=240, show_default=True, help="Wall time."),
+        click.option("--zipf-exponent", type=NUMBER, default=2.5, show_default=True),
+        click.option(
+            "--zipf-offset", type=click.FloatRange(0, 1e6), default=50.0, show_default=True, help="Ranks."
+        ),
+        click.option("--keep-alive-seconds", type=NUMBER, default=300, show_default=True),
+    ):
+        command = option(command)
+    return command
+
+
+def assumptions(zipf_exponent: float, zipf_offset: float, keep_alive_seconds: float) -> Assumptions:
+    return Assumptions(zipf_exponent=zipf_exponent, zipf_offset=zipf_offset, keep_alive=keep_alive_seconds)
+
+
+@click.group()
+def main() -> None:
+    """Measure how costs grow with the size of the fleet. Prints JSON, one record a line."""
+
+
+@main.command()
+@click.option("--dispatchers", type=COUNT, default=DEFAULT.dispatchers, show_default=True)
+@click.option("--workers", type=COUNT, default=DEFAULT.workers, show_default=True)
+@click.option("--instances-per-worker", type=COUNT, default=DEFAULT.instances_per_worker, show_default=True)
+@click.option("--functions", type=COUNT, default=DEFAULT.functions, show_default=True)
+@click.option("--calls", type=NUMBER, default=111, show_default=True, help="A second, at this dispatcher.")
+@click.option("--zones", type=COUNT, default=DEFAULT.zones, show_default=True)
+@click.option("--seconds", type=NUMBER, default=30, show_default=True, help="Of virtual time.")
+@click.option("--all-functions", is_flag=True, help="Call each function once in the end, and size memory.")
+@common
+def one(
+    dispatchers: int,
+    workers: int,
+    instances_per_worker: int,
+    functions: int,
+    calls: float,
+    zones: int,
+    seconds: float,
+    all_functions: bool,
+    seed: int,
+    limit_seconds: float,
+    **about: float,
+) -> None:
+    """One dispatcher of a fleet of this size."""
+    size = FleetSize(dispatchers, workers, instances_per_worker, functions, calls * dispatchers, zones=zones)
+    run = Run(
+        size, assumptions(**about), seed, seconds, monotonic() + limit_seconds, "one", False, all_functions
+    )
+    for found in measure_one(run):
+        click.echo(line(found))
+
+
+def run() -> int:
+    """The status of the process: a bad size is told in one line."""
+    try:
+        main(prog_name="python -m benchmarks.scale", standalone_mode=False)
+    except click.exceptions.Exit as ended:
+        return ended.exit_code
+    except click.ClickException as error:
+        click.echo(f"Error: {error.format_message()}", err=True)
+        return error.exit_code
+    except BadSize as error:
+        click.echo(f"Error: {error}", err=True)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(run())
--- /dev/null
+++ b/benchmarks/scale/hollow.py
@@ -0,0 +1,243 @@
+"""A dispatcher without sockets: the program's own `Dispatcher`, with a link that only encodes and decodes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from benchmarks.scale import discovery
+from benchmarks.scale.meter import Activity, Meter, MeteredBorder
+from benchmarks.scale.workers import Met
+from martenlead.edge.dispatcher import Box, Dispatcher, Held, Known, Out, Wanted
+from martenlead.interface import Result, Warmth
+from martenlead.node import config, lines
+from martenlead.node.journal import Frames, age
+from martenlead.node.rpc import BODY
+from martenlead.node.runners import Way
+from martenlead.runnerlink.heard import Heard
+from martenlead.runnerlink.roster import Line, List
+
+BODY_BASE64 = "eyJ4IjoxfQ=="
+CALL_COST_SECONDS = 0.04
+
+
+@dataclass(slots=True)
+class Call:
+    """One call of a client. Times are virtual ns."""
+
+    id: str
+    function: int
+    arrived: int
+    cold: bool = False
+    done: Callable[[Held], None] | None = None
+
+
+@dataclass(slots=True)
+class SentAttempt:
+    """An attempt that the link has written."""
+
+    out: Out
+    worker: int
+    function: int
+    due: int
+    open: bool = True
+
+
+@dataclass(slots=True)
+class SentLoad:
+    """A load request that the link has written."""
+
+    txn: str
+    worker: int
+    function: int
+    told: Callable[[Heard], None]
+
+
+@dataclass(slots=True)
+class LinkCounts:
+    """Bytes and messages on the links to workers, by purpose."""
+
+    attempts: int = 0
+    attempt_bytes: int = 0
+    cancels: int = 0
+    loads: int = 0
+    load_sent_bytes: int = 0
+    load_received_bytes: int = 0
+
+
+def function_name(number: int) -> str:
+    return f"function-{number:05d}"
+
+
+def function_number(name: str) -> int:
+    return int(name[-5:])
+
+
+def worker_number(name: str) -> int:
+    return int(name[2:], 16)
+
+
+class HollowLink:
+    """Encodes what a dispatcher sends to workers and keeps it for the simulation to carry."""
+
+    def __init__(self, clock: Callable[[], int]) -> None:
+        self.clock = clock
+        self.counts = LinkCounts()
+        self.attempts: list[SentAttempt] = []
+        self.loads: list[SentLoad] = []
+        self.dispatcher: Any = None
+
+    def use(self, dispatcher: Dispatcher) -> None:
+        self.dispatcher = dispatcher
+
+    async def run(self) -> None:
+        """Nothing runs: the simulation carries all."""
+
+    def way(self, line: Line) -> Way:
+        return Way(line)
+
+    def leave(self, way: Way) -> None:
+        way.left = True
+
+    def hand_off(self, out: Out) -> None:
+        hand_off, call = out.hand_off, out.held.content
+        known = out.held.wanted.model
+        ttl = max(1, hand_off.patience // 1_000_000)
+        line = lines.do(call.id, discovery.REQUEST_CLASS, known, ttl, None, BODY_BASE64)
+        self.counts.attempts += 1
+        self.counts.attempt_bytes += len(line)
+        sent = SentAttempt(
+            out, worker_number(out.box.line.id), call.function, self.clock() + hand_off.patience
+        )
+        out.at = sent
+        self.attempts.append(sent)
+
+    def call_off(self, out: Out) -> None:
+        sent: SentAttempt | None = out.at
+        if sent is None or not sent.open:
+            return
+        sent.open = False
+        self.counts.cancels += 1
+        lines.undo(out.held.content.id)
+        self.dispatcher.ended(out, Heard(Result.CALLED_OFF, why="called off"))
+
+    def order(self, box: Box, known: Known, copies: int, told: Callable[[Heard], None]) -> None:
+        self.counts.loads += 1
+        txn = f"o{self.counts.loads}"
+        self.counts.load_sent_bytes += len(lines.pin(txn, known.name, copies))
+        self.loads.append(SentLoad(txn, worker_number(box.line.id), function_number(known.name), told))
+
+
+class ListSource:
+    """The membership list that a dispatcher follows; the simulation feeds it."""
+
+    def __init__(self) -> None:
+        self.list = List()
+
+    async def run(self, dispatcher: Dispatcher) -> None:
+        """Nothing runs: `HollowDispatcher.membership` is fed."""
+
+
+@dataclass(slots=True)
+class ControlCounts:
+    """Bytes of discovery's stream."""
+
+    received_bytes: int = 0
+    frames: int = 0
+    deltas: list[int] = field(default_factory=list)
+
+
+class HollowDispatcher:
+    """One dispatcher from its configuration file on; `meter` may be shared."""
+
+    def __init__(self, told: config.Config, clock: Callable[[], int], meter: Meter) -> None:
+        self.meter, self.clock = meter, clock
+        self.link = HollowLink(clock)
+        self.source = ListSource()
+        self.dispatcher = Dispatcher(told.about, self.link, self.source, clock)
+        metered: Any = MeteredBorder(self.dispatcher.border, meter)
+        self.dispatcher.border = metered
+        self.frames = Frames(told.places)
+        self.control = ControlCounts()
+        self.armed = 1 << 62  # when the simulation runs the timers next
+        self._known = told.known
+
+    def begin(self) -> None:
+        """Takes in the list of the configuration and starts the periodic work, as the program does."""
+        with self.meter.measure(Activity.MEMBERSHIP):
+            for news in self._known:
+                if self.source.list.told(age(news, self.clock())):
+                    self.dispatcher.news(news.runners or [], news.whole)
+        self._known = []
+        with self.meter.measure(Activity.TIMERS):
+            self.dispatcher.border.begin()
+
+    def membership(self, data: bytes) -> None:
+        """Bytes of discovery's stream, decoded and told on as `JournalSource` does. Raises Gap, BadFrame."""
+        self.control.received_bytes += len(data)
+        self.control.frames += 1
+        with self.meter.measure(Activity.MEMBERSHIP):
+            for news in self.frames.feed(data):
+                if news.version <= self.source.list.version or news.runners is None:
+                    continue
+                if self.source.list.told(age(news, self.clock())):
+                    self.dispatcher.news(news.runners, news.whole)
+
+    def timers(self) -> None:
+        """What is due now."""
+        with self.meter.measure(Activity.TIMERS):
+            self.dispatcher.later(_nothing)
+
+    def take(self, call: Call) -> None:
+        name = function_name(call.function)
+        with self.meter.measure(Activity.SERVING):
+            wanted = Wanted(
+                discovery.REQUEST_CLASS,
+                name,
+                None,
+                4,
+                discovery.FUNCTION_MEMORY_MB,
+                CALL_COST_SECONDS,
+                None,
+                False,
+                call.id,
+                call.id,
+            )
+            self.dispatcher.take(wanted, call.arrived, call, len(BODY_BASE64), done=call.done)
+            self.dispatcher.later(_nothing)
+
+    def answered(self, sent: SentAttempt, line: bytes, met: Met) -> None:
+        """An answer's line arrives."""
+        if not sent.open:
+            return
+        sent.open = False
+        with self.meter.measure(Activity.SERVING):
+            word = lines.read(line, BODY)
+            heard = Heard(
+                lines.RESULTS[word.word],
+                lines.WARMTH.get(word.why, Warmth.UNTOLD),
+                content=word.raw,
+                why=word.word,
+                copies=word.copies,
+            )
+            sent.out.held.content.cold = met in (Met.BEGAN_LOAD, Met.WAITED_FOR_LOAD)
+            self.dispatcher.ended(sent.out, heard)
+
+    def expired(self, sent: SentAttempt) -> None:
+        """No answer came in time."""
+        if sent.open:
+            sent.open = False
+            with self.meter.measure(Activity.SERVING):
+                self.dispatcher.ended(sent.out, Heard(Result.SILENT, why="no answer in time"))
+
+    def loaded(self, sent: SentLoad, line: bytes) -> None:
+        """The answer to a load request arrives."""
+        self.link.counts.load_received_bytes += len(line)
+        with self.meter.measure(Activity.LOAD_REQUESTS):
+            word = lines.read(line, BODY)
+            sent.told(Heard(lines.RESULTS[word.word], why=word.word, copies=word.copies))
+
+
+def _nothing() -> None:
+    """The dispatcher runs what is due behind it."""
--- /dev/null
+++ b/benchmarks/scale/measure.py
@@ -0,0 +1,390 @@
+"""What one dispatcher costs at one size, and what it asks of the other roles."""
+
+from __future__ import annotations
+
+import tempfile
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
+from contextlib import contextmanager
+from dataclasses import asdict, dataclass
+from multiprocessing import get_context
+from pathlib import Path
+from statistics import fmean
+from time import monotonic, thread_time_ns
+from typing import Any
+
+import structlog
+
+from benchmarks.scale import discovery
+from benchmarks.scale.discovery import EventKind, Member, WorkerState
+from benchmarks.scale.footprint import footprint
+from benchmarks.scale.hollow import Call, HollowDispatcher
+from benchmarks.scale.meter import Activity, Meter
+from benchmarks.scale.popularity import Popularity, Rarity
+from benchmarks.scale.records import Record, Role, record
+from benchmarks.scale.simulation import EPOCH_NS, Outcomes, Simulation, collect_as_the_program_does
+from benchmarks.scale.sizes import (
+    SECONDS_PER_DAY,
+    Assumptions,
+    BadSize,
+    FleetSize,
+    check_memory,
+    resident_bytes,
+)
+from benchmarks.scale.workers import SECOND_NS
+from martenlead.lasting import knowledge
+from martenlead.lasting.store import Kind, pack
+from martenlead.node import config
+
+DELTAS = 6  # membership changes that are measured one by one
+AFTER_CHANGE_SECONDS = 1.0
+PROBED_FUNCTIONS = 20
+LAW_BYTES = 100  # of each function, for the law of calls, before anything of the program is there
+MEMORY_SPARE = 1.3  # what the interpreter takes beside the counted objects
+RUNTIME_SETTINGS = 1  # of a configuration file, what a running dispatcher takes over: the journal's address
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """What is asked for."""
+
+    size: FleetSize
+    assumptions: Assumptions
+    seed: int
+    seconds: float
+    deadline: float
+    axis: str
+    held_out: bool = False
+    all_functions: bool = False  # whether each function is called once in the end, for the memory it takes
+
+
+@contextmanager
+def logs_discarded() -> Iterator[None]:
+    """The program's log is written as in production, and thrown away."""
+    before = structlog.get_config()
+    with open("/dev/null", "w") as nowhere:
+        structlog.configure(
+            processors=[
+                structlog.processors.add_log_level,
+                structlog.processors.TimeStamper(fmt="iso", utc=True),
+                structlog.processors.format_exc_info,
+                structlog.processors.JSONRenderer(),
+            ],
+            wrapper_class=structlog.make_filtering_bound_logger(20),
+            logger_factory=structlog.PrintLoggerFactory(nowhere),
+            cache_logger_on_first_use=False,
+        )
+        try:
+            yield
+        finally:
+            structlog.configure(**before)
+
+
+def configured(run: Run, number: int, listed: list[Member]) -> tuple[config.Config, int, float]:
+    """A dispatcher's configuration, the size of its file in bytes, and the CPU ms of reading it."""
+    name = f"dispatcher-{number:03d}"
+    data = discovery.configuration(run.size, run.assumptions, name, run.seed * 1_000 + number, listed)
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "configuration.json"
+        path.write_bytes(data)
+        began = thread_time_ns()
+        told = config.read(path)
+        return told, len(data), (thread_time_ns() - began) / 1e6
+
+
+def estimate_memory_bytes(run: Run, dispatchers: int) -> float:
+    """What so many dispatchers will hold at the end of a run, from a probe in a process of its own."""
+    check_memory(run.size.functions * LAW_BYTES)  # the probe needs as much
+    with ProcessPoolExecutor(1, mp_context=get_context("fork")) as pool:
+        base, each = pool.submit(_probe_memory, run).result()
+    return dispatchers * (base + each * functions_met(run)) * MEMORY_SPARE
+
+
+def functions_met(run: Run) -> float:
+    """How many functions one dispatcher meets in a run, on average."""
+    if run.all_functions:
+        return run.size.functions
+    law = Popularity(run.size.functions, run.assumptions.zipf_exponent, run.assumptions.zipf_offset)
+    return law.expected_distinct(run.size.calls_per_dispatcher * run.seconds)
+
+
+def _probe_memory(run: Run) -> tuple[float, float]:
+    """Bytes of one dispatcher with the whole list, and what each of a few functions adds to it."""
+    simulation = Simulation(run.size, run.assumptions, run.seed, run.deadline, heartbeats=False)
+    told, _, _ = configured(run, 0, discovery.members(run.size))
+    dispatcher = HollowDispatcher(told, simulation.clock, Meter())
+    simulation.add(dispatcher)
+    base = sum(footprint(dispatcher).values())
+    probed = min(PROBED_FUNCTIONS, run.size.functions)
+    for function in range(probed):
+        call = Call(f"probe{function}", function, simulation.now)
+        dispatcher.take(call)
+    return base, (sum(footprint(dispatcher).values()) - base) / probed
+
+
+class DispatcherRun:
+    """One dispatcher through start, traffic, membership changes and resynchronisation."""
+
+    def __init__(self, run: Run) -> None:
+        self.run = run
+        self.size = run.size
+        self.meter = Meter()
+        self.costs: dict[str, float | None] = {}
+        self.listed = discovery.members(run.size)
+        self.simulation = Simulation(run.size, run.assumptions, run.seed, run.deadline)
+        self.file_bytes = 0
+        self.passed = 0.0
+        self.dispatcher: HollowDispatcher
+
+    def measure(self) -> None:
+        """Raises BadSize."""
+        resident = resident_bytes()
+        collect_as_the_program_does()
+        with self.meter.collections():
+            self.start()
+            self.traffic()
+            self.costs["memory_rss_growth_bytes"] = resident_bytes() - resident
+            self.memory()
+            self.state()
+            if self.run.all_functions:
+                self.all_functions()
+            self.membership_changes()
+            self.resynchronisation()
+
+    def start(self) -> None:
+        told, self.file_bytes, read_ms = configured(self.run, 0, self.listed)
+        began = thread_time_ns()
+        self.dispatcher = HollowDispatcher(told, self.simulation.clock, self.meter)
+        self.simulation.add(self.dispatcher)
+        self.costs["configuration_read_ms"] = read_ms
+        self.costs["start_ms"] = read_ms + (thread_time_ns() - began) / 1e6
+        self.costs["start_received_bytes"] = self.file_bytes
+
+    def traffic(self) -> None:
+        meter, simulation = self.meter, self.simulation
+        meter.spent.clear()
+        meter.longest.clear()
+        meter.steps.clear()
+        meter.collecting = 0
+        control = self.dispatcher.control
+        received = control.received_bytes
+        simulation.traffic(self.size.calls_per_dispatcher, self.run.seconds)
+        self.passed = max(simulation.run(self.run.seconds), 1e-9)
+        calls, seconds = max(1, simulation.outcomes.calls), self.passed
+        control_ns = sum(meter.spent[a] for a in Activity if a is not Activity.SERVING)
+        link = self.dispatcher.link.counts
+        self.costs |= {
+            "calls": calls,
+            "cpu_per_call_us": sum(meter.spent.values()) / calls / 1e3,
+            "serving_cpu_per_call_us": meter.spent[Activity.SERVING] / calls / 1e3,
+            "policy_cpu_per_call_us": sum(meter.steps.values()) / calls / 1e3,
+            "serving_percent_core": meter.spent[Activity.SERVING] / seconds / 1e7,
+            "control_percent_core": control_ns / seconds / 1e7,
+            "timers_percent_core": meter.spent[Activity.TIMERS] / seconds / 1e7,
+            "load_requests_percent_core": meter.spent[Activity.LOAD_REQUESTS] / seconds / 1e7,
+            "membership_percent_core": meter.spent[Activity.MEMBERSHIP] / seconds / 1e7,
+            "policy_percent_core": sum(meter.steps.values()) / seconds / 1e7,
+            "garbage_collection_percent_core": meter.collecting / seconds / 1e7,
+            "longest_step_ms": meter.longest_step() / 1e6,
+            "longest_call_step_ms": meter.longest["take"] / 1e6,
+            "longest_timer_step_ms": meter.longest["advance"] / 1e6,
+            "control_sent_bytes_per_second": link.load_sent_bytes / seconds,
+            "control_received_bytes_per_second": (
+                control.received_bytes - received + link.load_received_bytes
+            )
+            / seconds,
+            "attempt_bytes_per_second": link.attempt_bytes / seconds,
+            "load_requests_per_second": link.loads / seconds,
+            "attempts_per_call": link.attempts / calls,
+            "functions_known": len(self.dispatcher.dispatcher.models),
+            "replicas": sum(simulation.workers.replicas(simulation.now).values()),
+            "share_of_functions_under_once_a_minute": simulation.popularity.share_below_once_a_minute(
+                self.size.calls_per_second
+            ),
+            **outcome_costs(simulation.outcomes),
+        }
+
+    def memory(self) -> None:
+        found = footprint(self.dispatcher)
+        self.costs["memory_bytes"] = sum(found.values())
+        self.costs |= {f"memory_{part.value}_bytes": size for part, size in found.items()}
+
+    def all_functions(self) -> None:
+        """Calls each function once, at the usual rate of calls, and sizes the dispatcher again."""
+        self.simulation.measuring = False
+        seconds = self.size.functions / self.size.calls_per_dispatcher
+        self.simulation.sweep(list(range(self.size.functions)), seconds)
+        self.simulation.run(seconds)
+        found = footprint(self.dispatcher)
+        self.costs["all_functions_known"] = len(self.dispatcher.dispatcher.models)
+        self.costs["all_functions_memory_bytes"] = sum(found.values())
+        self.costs |= {f"all_functions_memory_{part.value}_bytes": size for part, size in found.items()}
+
+    def state(self) -> None:
+        """What would be kept on disk of this dispatcher's knowledge; None where it cannot be read."""
+        self.costs["state_bytes"] = self.costs["state_gather_ms"] = None
+        real = self.dispatcher.dispatcher
+        boxes = {box.runner: (name, box.line.start, False) for name, box in real.boxes.items()}
+        names = {model: known.name for model, known in real.by_model.items()}
+        began = thread_time_ns()
+        try:
+            told = real.border.look(lambda policy, now: knowledge.gather(policy, now, names, boxes))
+        except (AttributeError, TypeError, KeyError):
+            return
+        self.costs["state_gather_ms"] = (thread_time_ns() - began) / 1e6
+        self.costs["state_bytes"] = len(pack(Kind("knowledge"), "scale", 1, EPOCH_NS, told))
+
+    def membership_changes(self) -> None:
+        """Workers are replaced one by one; then a second of traffic on the changed list."""
+        self.simulation.measuring = False
+        version = self.dispatcher.source.list.version
+        spent, sizes = [], []
+        for number in range(min(DELTAS, self.size.workers)):
+            started = (self.simulation.now - SECOND_NS) // 1_000_000
+            old = Member(number, number % self.size.zones, WorkerState.GONE)
+            new = Member(self.size.workers + number, number % self.size.zones, WorkerState.UP, started)
+            for member in (old, new):
+                version += 1
+                data = discovery.frame(version, EventKind.DELTA, [member])
+                sizes.append(len(data))
+                spent.append(self._heard(data))
+        self.costs["membership_delta_ms"] = fmean(spent) / 1e6
+        self.costs["membership_delta_longest_ms"] = max(spent) / 1e6
+        self.costs["membership_delta_bytes"] = fmean(sizes)
+        before = self.meter.spent[Activity.SERVING]
+        calls = round(self.size.calls_per_dispatcher * AFTER_CHANGE_SECONDS)
+        self.simulation.traffic(self.size.calls_per_dispatcher, AFTER_CHANGE_SECONDS)
+        self.simulation.run(AFTER_CHANGE_SECONDS)
+        serving = self.meter.spent[Activity.SERVING] - before
+        self.costs["serving_cpu_per_call_after_change_us"] = serving / max(1, calls) / 1e3
+
+    def _heard(self, data: bytes) -> int:
+        """CPU ns of one event."""
+        began = thread_time_ns()
+        self.dispatcher.membership(data)
+        return thread_time_ns() - began
+
+    def resynchronisation(self) -> None:
+        version = self.dispatcher.source.list.version + 1
+        data = discovery.frame(version, EventKind.SNAPSHOT, self.listed)
+        self.costs["resync_ms"] = self._heard(data) / 1e6
+        self.costs["resync_bytes"] = len(data)
+
+
+def outcome_costs(outcomes: Outcomes) -> dict[str, float | None]:
+    """Shares of final responses, and cold starts by how rare a function is."""
+    calls = max(1, sum(outcomes.finals.values()))
+    succeeded = sum(outcomes.succeeded.values())
+    cold = sorted(lag for lags in outcomes.cold.values() for lag in lags)
+    costs: dict[str, float | None] = {
+        "succeeded_share": succeeded / calls,
+        "cold_start_share": len(cold) / max(1, succeeded),
+        "cold_start_p50_ms": quantile_ms(cold, 0.5),
+        "cold_start_p99_ms": quantile_ms(cold, 0.99),
+    }
+    for rarity in Rarity:
+        lags = sorted(outcomes.cold.get(rarity, []))
+        of = outcomes.succeeded[rarity]
+        costs[f"cold_start_share_{rarity.value}"] = len(lags) / of if of else None
+        costs[f"cold_start_p50_{rarity.value}_ms"] = quantile_ms(lags, 0.5)
+        costs[f"cold_start_p99_{rarity.value}_ms"] = quantile_ms(lags, 0.99)
+    return costs
+
+
+def quantile_ms(lags: list[int], share: float) -> float | None:
+    """Of sorted ns; None where there are none."""
+    return lags[min(len(lags) - 1, int(share * len(lags)))] / 1e6 if lags else None
+
+
+def measure_one(run: Run, check: bool = True) -> list[Record]:
+    """The records of one dispatcher, and of the roles it is served by. Raises BadSize."""
+    with logs_discarded():
+        if check:
+            check_memory(estimate_memory_bytes(run, 1))
+        if monotonic() > run.deadline:
+            raise BadSize("no time was left to begin")
+        measured = DispatcherRun(run)
+        measured.measure()
+        return records_of(measured)
+
+
+def records_of(measured: DispatcherRun) -> list[Record]:
+    run, costs = measured.run, measured.costs
+    about: dict[str, Any] = {
+        "axis": run.axis,
+        "assumptions": asdict(run.assumptions),
+        "seed": run.seed,
+        "held_out": run.held_out,
+        "virtual_seconds": round(measured.passed, 3),
+        "stopped_early": measured.simulation.stopped,
+    }
+    dispatchers, changes = run.size.dispatchers, run.size.changes_per_day
+    return [
+        record(
+            Role.DISPATCHER,
+            run.size,
+            costs,
+            note="cold starts and replicas are those that this dispatcher alone causes",
+            **about,
+        ),
+        record(
+            Role.DISCOVERY,
+            run.size,
+            {
+                "snapshot_bytes": _cost(costs, "resync_bytes"),
+                "snapshot_all_bytes": _cost(costs, "resync_bytes") * dispatchers,
+                "delta_all_bytes": _cost(costs, "membership_delta_bytes") * dispatchers,
+                "heartbeats_bytes_per_second": len(discovery.frame(1, EventKind.HEARTBEAT, [])) * dispatchers,
+                "connections": dispatchers,
+            },
+            note="bytes of real frames; the service is not part of the project, so its CPU is not measured",
+            **about,
+        ),
+        record(
+            Role.CONFIGURATION,
+            run.size,
+            {
+                "file_bytes": measured.file_bytes,
+                "file_all_bytes": measured.file_bytes * dispatchers,
+                "read_ms": costs["configuration_read_ms"],
+                "settings_in_force_at_reload": RUNTIME_SETTINGS,
+                "sent_bytes_per_second": measured.file_bytes * dispatchers * changes / SECONDS_PER_DAY,
+                "read_percent_core": _cost(costs, "configuration_read_ms") * changes / SECONDS_PER_DAY / 10,
+            },
+            note="a changed file is read on SIGHUP, where only the journal's address comes into force",
+            **about,
+        ),
+        record(
+            Role.STATE,
+            run.size,
+            {
+                "state_bytes": costs["state_bytes"],
+                "gather_ms": costs["state_gather_ms"],
+                "functions": costs["functions_known"],
+            },
+            **about,
+        ),
+        record(
+            Role.WORKER_AGENT,
+            run.size,
+            {
+                "calls_per_second": run.size.calls_per_second / run.size.workers,
+                "load_requests_per_second": _cost(costs, "load_requests_per_second")
+                * dispatchers
+                / run.size.workers,
+                "load_request_bytes_per_second": (_cost(costs, "control_sent_bytes_per_second"))
+                * dispatchers
+                / run.size.workers,
+                "dispatchers_that_may_connect": dispatchers,
+            },
+            note="one dispatcher's load requests times the dispatchers; connections are not measured",
+            **about,
+        ),
+    ]
+
+
+def _cost(costs: dict[str, float | None], name: str) -> float:
+    """A cost that is always measured."""
+    value = costs[name]
+    assert value is not None
+    return value
--- /dev/null
+++ b/benchmarks/scale/meter.py
@@ -0,0 +1,88 @@
+"""CPU time by what it was spent on, of this thread, so that other work on the machine matters less."""
+
+from __future__ import annotations
+
+import gc
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from enum import Enum
+from time import thread_time_ns
+from typing import Any
+
+
+class Activity(Enum):
+    """What a dispatcher's CPU time is spent on."""
+
+    SERVING = "serving"
+    TIMERS = "timers"
+    LOAD_REQUESTS = "load_requests"
+    MEMBERSHIP = "membership"
+
+
+class Meter:
+    """Totals of one or more dispatchers. Times are ns of CPU."""
+
+    def __init__(self) -> None:
+        self.spent: Counter[Activity] = Counter()
+        self.steps: Counter[str] = Counter()  # CPU time in the policy, by the border's method
+        self.longest: Counter[str] = Counter()
+        self.collecting = 0
+        self._collection_began = 0
+
+    @contextmanager
+    def measure(self, activity: Activity) -> Iterator[None]:
+        began = thread_time_ns()
+        yield
+        self.spent[activity] += thread_time_ns() - began
+
+    def step(self, name: str, spent: int) -> None:
+        self.steps[name] += spent
+        if spent > self.longest[name]:
+            self.longest[name] = spent
+
+    def garbage(self, phase: str, _info: dict[str, int]) -> None:
+        """For `gc.callbacks`."""
+        if phase == "start":
+            self._collection_began = thread_time_ns()
+        else:
+            self.collecting += thread_time_ns() - self._collection_began
+
+    @contextmanager
+    def collections(self) -> Iterator[None]:
+        """Counts what garbage collection takes meanwhile."""
+        gc.callbacks.append(self.garbage)
+        try:
+            yield
+        finally:
+            gc.callbacks.remove(self.garbage)
+
+    def longest_step(self) -> int:
+        return max(self.longest.values(), default=0)
+
+
+class MeteredBorder:
+    """Stands in front of a dispatcher's border and times each call into the policy."""
+
+    def __init__(self, border: Any, meter: Meter) -> None:
+        self._border, self._meter = border, meter
+
+    def __getattr__(self, name: str) -> Any:
+        method = getattr(self._border, name)
+        if name in ("due", "look") or not callable(method):
+            return method
+        timed = self._timed(name, method)
+        setattr(self, name, timed)
+        return timed
+
+    def _timed(self, name: str, method: Callable[..., Any]) -> Callable[..., Any]:
+        step = self._meter.step
+
+        def timed(*arguments: Any, **named: Any) -> Any:
+            began = thread_time_ns()
+            try:
+                return method(*arguments, **named)
+            finally:
+                step(name, thread_time_ns() - began)
+
+        return timed
