--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -9,9 +9,11 @@
 
 import click
 
+from benchmarks.scale.fleet import measure_fleet
 from benchmarks.scale.measure import Run, measure_one
-from benchmarks.scale.records import line
+from benchmarks.scale.records import Record, line
 from benchmarks.scale.sizes import Assumptions, BadSize, FleetSize
+from benchmarks.scale.slopes import AXES, slopes
 
 
 class Positive(click.ParamType[Any]):
@@ -93,6 +95,64 @@
         click.echo(line(found))
 
 
+@main.command(name="slopes")
+@click.option("--axis", "names", multiple=True, type=click.Choice(list(AXES)), help="Default: all.")
+@click.option("--workers", type=COUNT, default=1920, show_default=True, help="Where they do not vary.")
+@click.option("--functions", type=COUNT, default=DEFAULT.functions, show_default=True)
+@click.option("--calls", type=NUMBER, default=111, show_default=True, help="A second, at one dispatcher.")
+@click.option("--seconds", type=NUMBER, default=15, show_default=True, help="Of virtual time, a size.")
+@common
+def slopes_command(
+    names: tuple[str, ...],
+    workers: int,
+    functions: int,
+    calls: float,
+    seconds: float,
+    seed: int,
+    limit_seconds: float,
+    **about: float,
+) -> None:
+    """One dispatcher at five sizes along each axis, the largest marked as held out."""
+    size = FleetSize(workers=workers, functions=functions, calls_per_second=calls * DEFAULT.dispatchers)
+    base = Run(size, assumptions(**about), seed, seconds, monotonic() + limit_seconds, "base")
+    asked = list(names or AXES)
+    last: Record | None = None
+    for last in slopes(base, asked):
+        click.echo(line(last))
+    if last is None or last.axis != asked[-1] or not last.held_out:
+        raise BadSize(f"the {limit_seconds:g} s were over before the last size: what is missing was not run")
+
+
+@main.command(name="fleet")
+@click.option("--dispatchers", type=COUNT, default=DEFAULT.dispatchers, show_default=True)
+@click.option("--workers", type=COUNT, default=DEFAULT.workers, show_default=True)
+@click.option("--instances-per-worker", type=COUNT, default=DEFAULT.instances_per_worker, show_default=True)
+@click.option("--functions", type=COUNT, default=DEFAULT.functions, show_default=True)
+@click.option("--calls", type=NUMBER, default=50_000, show_default=True, help="A second, over all.")
+@click.option("--zones", type=COUNT, default=DEFAULT.zones, show_default=True)
+@click.option("--seconds", type=NUMBER, default=10, show_default=True, help="Of virtual time, measured.")
+@click.option("--warm-up-seconds", type=NUMBER, default=8, show_default=True, help="Of virtual time, before.")
+@common
+def fleet_command(
+    dispatchers: int,
+    workers: int,
+    instances_per_worker: int,
+    functions: int,
+    calls: float,
+    zones: int,
+    seconds: float,
+    warm_up_seconds: float,
+    seed: int,
+    limit_seconds: float,
+    **about: float,
+) -> None:
+    """Many dispatchers and all workers of a fleet."""
+    size = FleetSize(dispatchers, workers, instances_per_worker, functions, calls, zones=zones)
+    asked = Run(size, assumptions(**about), seed, seconds, monotonic() + limit_seconds, "fleet")
+    for found in measure_fleet(asked, warm_up_seconds):
+        click.echo(line(found))
+
+
 def run() -> int:
     """The status of the process: a bad size is told in one line."""
     try:
--- /dev/null
+++ b/benchmarks/scale/fleet.py
@@ -0,0 +1,214 @@
+"""Many dispatchers and all workers of a fleet in one process.
+
+Before the measured window every function that the fleet calls at least once a keep-alive, by chance as often
+as its rate says, is called once at a random dispatcher, so that the window begins with a warm fleet.
+Dispatchers share the decoded lines of the list; everything else is each one's own.
+"""
+
+from __future__ import annotations
+
+import gc
+from collections import Counter, defaultdict
+from statistics import fmean
+from time import thread_time_ns
+
+import numpy as np
+
+from benchmarks.scale import discovery
+from benchmarks.scale.discovery import EventKind, Member, WorkerState
+from benchmarks.scale.footprint import footprint
+from benchmarks.scale.hollow import HollowDispatcher
+from benchmarks.scale.measure import (
+    Run,
+    about_run,
+    configured,
+    estimate_memory_bytes,
+    logs_discarded,
+    outcome_costs,
+)
+from benchmarks.scale.meter import Activity, Meter
+from benchmarks.scale.popularity import Rarity
+from benchmarks.scale.records import Record, Role, record
+from benchmarks.scale.simulation import Outcomes, Simulation
+from benchmarks.scale.sizes import check_memory, resident_bytes
+
+SAMPLED = 5  # dispatchers whose memory is sized object by object
+WARM_UP_BEFORE_SWEEP = 0.25  # of the warm-up, in which only the usual traffic comes
+COLLECT_AFTER = (50_000, 20, 100)  # as the whole fleet's heap is far larger than a dispatcher's
+
+
+class FleetRun:
+    """The dispatchers of a fleet through start, warm-up, a measured window, one change and a resync."""
+
+    def __init__(self, run: Run, warm_up: float) -> None:
+        self.run, self.warm_up = run, warm_up
+        self.size = run.size
+        self.meter = Meter(without_collections=True)
+        self.simulation = Simulation(run.size, run.assumptions, run.seed, run.deadline)
+        self.costs: dict[str, float | None] = {}
+        self.worker_costs: dict[str, float | None] = {}
+        self.discovery_costs: dict[str, float | None] = {}
+        self.passed = 0.0
+
+    @property
+    def dispatchers(self) -> list[HollowDispatcher]:
+        return self.simulation.dispatchers
+
+    def measure(self) -> None:
+        """Raises BadSize."""
+        resident = resident_bytes()
+        with self.meter.collections():
+            self._measure(resident)
+
+    def _measure(self, resident: int) -> None:
+        self.start()
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*COLLECT_AFTER)
+        self.warm()
+        self.window()
+        self.costs["memory_rss_per_dispatcher_bytes"] = (resident_bytes() - resident) / len(self.dispatchers)
+        self.memory()
+        self.one_change()
+        self.resynchronise_all()
+
+    def start(self) -> None:
+        listed = discovery.members(self.size)
+        first, _, _ = configured(self.run, 0, listed)
+        began = thread_time_ns()
+        for number in range(self.size.dispatchers):
+            told, _, _ = configured(self.run, number, [])
+            self.simulation.add(HollowDispatcher(told, self.simulation.clock, self.meter, first.known))
+        spent = self.meter.spent[Activity.MEMBERSHIP] + self.meter.spent[Activity.TIMERS]
+        self.costs["start_ms"] = spent / len(self.dispatchers) / 1e6
+        self.costs["start_all_cpu_seconds"] = (thread_time_ns() - began) / 1e9
+
+    def warm(self) -> None:
+        """Usual traffic, and one call of what a keep-alive's traffic would have called."""
+        simulation = self.simulation
+        simulation.measuring = False
+        simulation.traffic(self.size.calls_per_second, self.warm_up)
+        simulation.run(self.warm_up * WARM_UP_BEFORE_SWEEP)
+        rates = simulation.popularity.rates(self.size.calls_per_second)
+        called = -np.expm1(-rates * self.run.assumptions.keep_alive)
+        drawn = np.random.default_rng(self.run.seed + 1).random(len(rates)) < called
+        left = self.warm_up * (1 - WARM_UP_BEFORE_SWEEP)
+        simulation.sweep(np.flatnonzero(drawn).tolist(), left)
+        simulation.run(left)
+
+    def window(self) -> None:
+        """The measured seconds."""
+        simulation, meter, run = self.simulation, self.meter, self.run
+        simulation.measuring = True
+        simulation.outcomes = Outcomes()
+        meter.spent.clear()
+        meter.steps.clear()
+        meter.longest.clear()
+        before, loads = self._totals(), simulation.workers.loads
+        evictions = simulation.workers.evictions
+        simulation.traffic(self.size.calls_per_second, run.seconds)
+        self.passed = max(simulation.run(run.seconds), 1e-9)
+        sent = {name: total - before[name] for name, total in self._totals().items()}
+        count, seconds, calls = len(self.dispatchers), self.passed, max(1, simulation.outcomes.calls)
+        control = sum(meter.spent[activity] for activity in Activity if activity is not Activity.SERVING)
+        self.costs |= {
+            "calls": calls,
+            "cpu_per_call_us": sum(meter.spent.values()) / calls / 1e3,
+            "serving_cpu_per_call_us": meter.spent[Activity.SERVING] / calls / 1e3,
+            "serving_percent_core": meter.spent[Activity.SERVING] / seconds / count / 1e7,
+            "control_percent_core": control / seconds / count / 1e7,
+            "policy_percent_core": sum(meter.steps.values()) / seconds / count / 1e7,
+            "longest_step_ms": meter.longest_step() / 1e6,
+            "control_sent_bytes_per_second": sent["load_sent"] / seconds / count,
+            "control_received_bytes_per_second": sent["received"] / seconds / count,
+            "load_requests_per_second_all": sent["loads"] / seconds,
+            "loads_per_second_all": (simulation.workers.loads - loads) / seconds,
+            "evictions_per_second_all": (simulation.workers.evictions - evictions) / seconds,
+            "attempts_per_call": sent["attempts"] / calls,
+            "functions_known": fmean(len(d.dispatcher.models) for d in self.dispatchers),
+            "share_of_functions_under_once_a_minute": simulation.popularity.share_below_once_a_minute(
+                self.size.calls_per_second
+            ),
+            **outcome_costs(simulation.outcomes),
+            **self._replicas(),
+        }
+        contacts = [sum(contacted) for contacted in zip(*simulation.contacted, strict=True)]
+        used = contacts[: self.size.workers]
+        self.worker_costs = {
+            "dispatchers_met_mean": fmean(used),
+            "dispatchers_met_most": max(used),
+            "calls_per_second": calls / seconds / self.size.workers,
+            "load_requests_per_second": sent["loads"] / seconds / self.size.workers,
+            "load_request_bytes_per_second": sent["load_sent"] / seconds / self.size.workers,
+        }
+
+    def _totals(self) -> Counter[str]:
+        totals: Counter[str] = Counter()
+        for dispatcher in self.dispatchers:
+            link = dispatcher.link.counts
+            totals["loads"] += link.loads
+            totals["load_sent"] += link.load_sent_bytes
+            totals["attempts"] += link.attempts
+            totals["received"] += dispatcher.control.received_bytes + link.load_received_bytes
+        return totals
+
+    def _replicas(self) -> dict[str, float | None]:
+        """Instances that stand, in all and of a function that has any, by how rare it is."""
+        standing = self.simulation.workers.replicas(self.simulation.now)
+        of: dict[Rarity, list[int]] = defaultdict(list)
+        for function, number in standing.items():
+            of[self.simulation.rarities[function]].append(number)
+        costs: dict[str, float | None] = {
+            "replicas_all": sum(standing.values()),
+            "functions_with_replicas": len(standing),
+        }
+        for rarity in Rarity:
+            costs[f"replicas_per_function_{rarity.value}"] = fmean(of[rarity]) if of[rarity] else None
+        return costs
+
+    def memory(self) -> None:
+        """The mean of some dispatchers, each with the lines that it shares."""
+        found = [footprint(dispatcher) for dispatcher in self.dispatchers[:SAMPLED]]
+        self.costs["memory_bytes"] = fmean(sum(parts.values()) for parts in found)
+        for part in found[0]:
+            self.costs[f"memory_{part.value}_bytes"] = fmean(parts[part] for parts in found)
+
+    def one_change(self) -> None:
+        """A worker drains: every dispatcher is told."""
+        version = self.dispatchers[0].source.list.version + 1
+        data = discovery.frame(version, EventKind.DELTA, [Member(0, 0, WorkerState.DRAINING)])
+        spent, total = self._tell_all(data)
+        self.costs["membership_delta_ms"] = spent
+        self.discovery_costs["delta_all_bytes"] = total
+
+    def resynchronise_all(self) -> None:
+        version = self.dispatchers[0].source.list.version + 1
+        data = discovery.frame(version, EventKind.SNAPSHOT, discovery.members(self.size))
+        spent, total = self._tell_all(data)
+        self.costs["resync_ms"] = spent
+        self.costs["resync_all_cpu_seconds"] = spent * len(self.dispatchers) / 1e3
+        self.discovery_costs["snapshot_bytes"] = len(data)
+        self.discovery_costs["snapshot_all_bytes"] = total
+
+    def _tell_all(self, data: bytes) -> tuple[float, int]:
+        """CPU ms of one dispatcher, and bytes of all."""
+        began = thread_time_ns()
+        for dispatcher in self.dispatchers:
+            dispatcher.membership(data)
+        spent = thread_time_ns() - began
+        return spent / len(self.dispatchers) / 1e6, len(data) * len(self.dispatchers)
+
+
+def measure_fleet(run: Run, warm_up: float) -> list[Record]:
+    """The records of a whole fleet. Raises BadSize."""
+    with logs_discarded():
+        check_memory(estimate_memory_bytes(run, run.size.dispatchers))
+        measured = FleetRun(run, warm_up)
+        measured.measure()
+    about = about_run(run, measured.simulation, measured.passed)
+    note = "means of all dispatchers; garbage collection left out; many in one process miss the caches more"
+    return [
+        record(Role.DISPATCHER, run.size, measured.costs, note=note, **about),
+        record(Role.WORKER_AGENT, run.size, measured.worker_costs, **about),
+        record(Role.DISCOVERY, run.size, measured.discovery_costs, **about),
+    ]
--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -16,7 +16,7 @@
 from martenlead.node.rpc import BODY
 from martenlead.node.runners import Way
 from martenlead.runnerlink.heard import Heard
-from martenlead.runnerlink.roster import Line, List
+from martenlead.runnerlink.roster import Line, List, News
 
 BODY_BASE64 = "eyJ4IjoxfQ=="
 CALL_COST_SECONDS = 0.04
@@ -151,7 +151,10 @@
 class HollowDispatcher:
     """One dispatcher from its configuration file on; `meter` may be shared."""
 
-    def __init__(self, told: config.Config, clock: Callable[[], int], meter: Meter) -> None:
+    def __init__(
+        self, told: config.Config, clock: Callable[[], int], meter: Meter, known: list[News] | None = None
+    ) -> None:
+        """`known` goes before the list of the configuration; its lines may be shared by dispatchers."""
         self.meter, self.clock = meter, clock
         self.link = HollowLink(clock)
         self.source = ListSource()
@@ -161,7 +164,7 @@
         self.frames = Frames(told.places)
         self.control = ControlCounts()
         self.armed = 1 << 62  # when the simulation runs the timers next
-        self._known = told.known
+        self._known = told.known if known is None else known
 
     def begin(self) -> None:
         """Takes in the list of the configuration and starts the periodic work, as the program does."""
--- a/benchmarks/scale/measure.py
+++ b/benchmarks/scale/measure.py
@@ -17,7 +17,7 @@
 
 from benchmarks.scale import discovery
 from benchmarks.scale.discovery import EventKind, Member, WorkerState
-from benchmarks.scale.footprint import footprint
+from benchmarks.scale.footprint import Footprint, footprint
 from benchmarks.scale.hollow import Call, HollowDispatcher
 from benchmarks.scale.meter import Activity, Meter
 from benchmarks.scale.popularity import Popularity, Rarity
@@ -95,9 +95,11 @@
 def estimate_memory_bytes(run: Run, dispatchers: int) -> float:
     """What so many dispatchers will hold at the end of a run, from a probe in a process of its own."""
     check_memory(run.size.functions * LAW_BYTES)  # the probe needs as much
-    with ProcessPoolExecutor(1, mp_context=get_context("fork")) as pool:
-        base, each = pool.submit(_probe_memory, run).result()
-    return dispatchers * (base + each * functions_met(run)) * MEMORY_SPARE
+    with logs_discarded(), ProcessPoolExecutor(1, mp_context=get_context("fork")) as pool:
+        probed = pool.submit(_probe_memory, run).result()
+    functions = functions_met(run)
+    one, another = (size + probed.function * functions for size in (probed.first, probed.second))
+    return (one + another * (dispatchers - 1)) * MEMORY_SPARE
 
 
 def functions_met(run: Run) -> float:
@@ -108,18 +110,34 @@
     return law.expected_distinct(run.size.calls_per_dispatcher * run.seconds)
 
 
-def _probe_memory(run: Run) -> tuple[float, float]:
-    """Bytes of one dispatcher with the whole list, and what each of a few functions adds to it."""
+@dataclass(frozen=True, slots=True)
+class Probed:
+    """Bytes of a first dispatcher with the whole list, of a second that shares its lines, of a function."""
+
+    first: float
+    second: float
+    function: float
+
+
+def _probe_memory(run: Run) -> Probed:
+    """Two dispatchers with the whole list, and what a few functions add to the second."""
     simulation = Simulation(run.size, run.assumptions, run.seed, run.deadline, heartbeats=False)
-    told, _, _ = configured(run, 0, discovery.members(run.size))
-    dispatcher = HollowDispatcher(told, simulation.clock, Meter())
-    simulation.add(dispatcher)
-    base = sum(footprint(dispatcher).values())
+    listed = discovery.members(run.size)
+    told, _, _ = configured(run, 0, listed)
+    first, second = (HollowDispatcher(told, simulation.clock, Meter()) for _ in range(2))
+    simulation.add(first)
+    simulation.add(second)
+    both = Footprint()
+    both.walk(first)
+    size = sum(both.bytes.values())
+    both.walk(second)
+    another = sum(both.bytes.values()) - size
+    before = sum(footprint(second).values())
     probed = min(PROBED_FUNCTIONS, run.size.functions)
     for function in range(probed):
-        call = Call(f"probe{function}", function, simulation.now)
-        dispatcher.take(call)
-    return base, (sum(footprint(dispatcher).values()) - base) / probed
+        second.take(Call(f"probe{function}", function, simulation.now))
+    each = (sum(footprint(second).values()) - before) / probed
+    return Probed(size, another, each)
 
 
 class DispatcherRun:
@@ -308,16 +326,21 @@
         return records_of(measured)
 
 
-def records_of(measured: DispatcherRun) -> list[Record]:
-    run, costs = measured.run, measured.costs
-    about: dict[str, Any] = {
+def about_run(run: Run, simulation: Simulation, passed: float) -> dict[str, Any]:
+    """What every record of a run says of it."""
+    return {
         "axis": run.axis,
         "assumptions": asdict(run.assumptions),
         "seed": run.seed,
         "held_out": run.held_out,
-        "virtual_seconds": round(measured.passed, 3),
-        "stopped_early": measured.simulation.stopped,
+        "virtual_seconds": round(passed, 3),
+        "stopped_early": simulation.stopped,
     }
+
+
+def records_of(measured: DispatcherRun) -> list[Record]:
+    run, costs = measured.run, measured.costs
+    about = about_run(run, measured.simulation, measured.passed)
     dispatchers, changes = run.size.dispatchers, run.size.changes_per_day
     return [
         record(
--- a/benchmarks/scale/meter.py
+++ b/benchmarks/scale/meter.py
@@ -23,7 +23,10 @@
 class Meter:
     """Totals of one or more dispatchers. Times are ns of CPU."""
 
-    def __init__(self) -> None:
+    def __init__(self, without_collections: bool = False) -> None:
+        """`without_collections` leaves garbage collection out of steps: a collection of many dispatchers in
+        one process takes far longer than one of theirs would."""
+        self.without_collections = without_collections
         self.spent: Counter[Activity] = Counter()
         self.steps: Counter[str] = Counter()  # CPU time in the policy, by the border's method
         self.longest: Counter[str] = Counter()
@@ -32,9 +35,11 @@
 
     @contextmanager
     def measure(self, activity: Activity) -> Iterator[None]:
-        began = thread_time_ns()
+        collected, began = self.collecting, thread_time_ns()
         yield
         self.spent[activity] += thread_time_ns() - began
+        if self.without_collections:
+            self.spent[activity] -= self.collecting - collected
 
     def step(self, name: str, spent: int) -> None:
         self.steps[name] += spent
@@ -76,13 +81,16 @@
         return timed
 
     def _timed(self, name: str, method: Callable[..., Any]) -> Callable[..., Any]:
-        step = self._meter.step
+        meter = self._meter
 
         def timed(*arguments: Any, **named: Any) -> Any:
-            began = thread_time_ns()
+            collected, began = meter.collecting, thread_time_ns()
             try:
                 return method(*arguments, **named)
             finally:
-                step(name, thread_time_ns() - began)
+                spent = thread_time_ns() - began
+                if meter.without_collections:
+                    spent -= meter.collecting - collected
+                meter.step(name, spent)
 
         return timed
--- a/benchmarks/scale/simulation.py
+++ b/benchmarks/scale/simulation.py
@@ -16,7 +16,7 @@
 from benchmarks.scale.discovery import EventKind, frame
 from benchmarks.scale.hollow import Call, HollowDispatcher, SentAttempt, SentLoad
 from benchmarks.scale.popularity import Popularity, Rarity
-from benchmarks.scale.sizes import Assumptions, FleetSize, check_memory, resident_bytes
+from benchmarks.scale.sizes import MAX_WORKERS, Assumptions, FleetSize, check_memory, resident_bytes
 from benchmarks.scale.workers import SECOND_NS, Instance, Met, WorkerFleet
 from martenlead.edge.dispatcher import Final, Held
 
@@ -63,6 +63,7 @@
         self.popularity = Popularity(size.functions, assumptions.zipf_exponent, assumptions.zipf_offset)
         self.rarities = self.popularity.rarities(size.calls_per_second)
         self.dispatchers: list[HollowDispatcher] = []
+        self.contacted: list[bytearray] = []  # by dispatcher: the workers it has sent attempts to
         self.outcomes = Outcomes()
         self.measuring = True
         self._random = np.random.default_rng(seed)
@@ -88,6 +89,7 @@
         """A dispatcher that has not begun; its first timers are due now."""
         number = len(self.dispatchers)
         self.dispatchers.append(dispatcher)
+        self.contacted.append(bytearray(MAX_WORKERS))
         dispatcher.begin()
         self._after(number)
         if self.heartbeats:
@@ -201,6 +203,7 @@
                 self.outcomes.cold[rarity].append(self.now - call.arrived)
 
     def _attempt_arrives(self, number: int, sent: SentAttempt) -> None:
+        self.contacted[number][sent.worker % MAX_WORKERS] = 1
         met, delay, instance = self.workers.call(sent.worker, sent.function, self.now)
         self._push(self.now + delay, Event.ANSWER_LEAVES, -1, (number, sent, met, instance))
         if sent.due < self.now + delay + self.workers.round_trip(number, sent.worker):
--- a/benchmarks/scale/sizes.py
+++ b/benchmarks/scale/sizes.py
@@ -9,6 +9,7 @@
 
 SECONDS_PER_DAY = 86_400
 MAX_WORKERS = 20_000  # what one membership frame may hold
+MAX_DISPATCHERS = 1_000_000  # what a configuration may say
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
@@ -36,6 +37,8 @@
                 raise BadSize(f"{name} has to be a number above zero, not {value}")
         if self.workers > MAX_WORKERS:
             raise BadSize(f"workers: one membership frame holds at most {MAX_WORKERS}, not {self.workers}")
+        if self.dispatchers > MAX_DISPATCHERS:
+            raise BadSize(f"dispatchers: at most {MAX_DISPATCHERS}, not {self.dispatchers}")
 
     @property
     def instances(self) -> int:
