Scale measurements: a zone lost and returned, and memory checked while running

An ordinary delta says nothing of a zone's workers in one event, and the check while running compared what is held with what was still free.

--- a/benchmarks/scale/sizes.py
+++ b/benchmarks/scale/sizes.py
@@ -10,6 +10,7 @@
 SECONDS_PER_DAY = 86_400
 MAX_WORKERS = 20_000  # what one membership frame may hold
 MAX_DISPATCHERS = 1_000_000  # what a configuration may say
+LEAST_FREE = 20  # a run stops where less than this part of the machine's memory is free
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
@@ -106,3 +107,11 @@
         raise BadSize(f"about {estimate_bytes / 1e9:.1f} GB, over half of the machine's memory")
     if estimate_bytes > available:
         raise BadSize(f"about {estimate_bytes / 1e9:.1f} GB, only {available / 1e9:.1f} GB are free now")
+
+
+def check_memory_in_use() -> None:
+    """Raises BadSize where this process has come over its bound, or the machine is short of memory."""
+    if resident_bytes() > total_memory_bytes() // 2:
+        raise BadSize("stopped: over half of the machine's memory is in use")
+    if available_memory_bytes() < total_memory_bytes() // LEAST_FREE:
+        raise BadSize("stopped: the machine is short of memory")
--- a/tests/test_scale_rig.py
+++ b/tests/test_scale_rig.py
@@ -83,6 +83,8 @@
         "control_sent_bytes_per_second",
         "control_received_bytes_per_second",
         "membership_delta_ms",
+        "zone_lost_ms",
+        "zone_returned_ms",
         "start_ms",
         "resync_ms",
         "configuration_read_ms",
@@ -91,6 +93,7 @@
         assert costs[name] > 0, name
     assert {"cold_start_share", "cold_start_p50_ms", "cold_start_p99_ms", "replicas"} <= set(costs)
     assert costs["membership_delta_bytes"] == 40
+    assert costs["zone_lost_bytes"] == 13 + 27 * 2  # every tenth of twelve
     assert records["discovery"]["costs"]["snapshot_all_bytes"] == 4 * (13 + 27 * 12)
 
 
