--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -71,6 +71,7 @@
 @click.option("--calls", type=NUMBER, default=111, show_default=True, help="A second, at this dispatcher.")
 @click.option("--zones", type=COUNT, default=DEFAULT.zones, show_default=True)
 @click.option("--seconds", type=NUMBER, default=30, show_default=True, help="Of virtual time.")
+@click.option("--repeats", type=COUNT, default=1, show_default=True, help="The lowest times count.")
 @click.option("--all-functions", is_flag=True, help="Call each function once in the end, and size memory.")
 @common
 def one(
@@ -81,6 +82,7 @@
     calls: float,
     zones: int,
     seconds: float,
+    repeats: int,
     all_functions: bool,
     seed: int,
     limit_seconds: float,
@@ -101,6 +103,7 @@
 @click.option("--functions", type=COUNT, default=DEFAULT.functions, show_default=True)
 @click.option("--calls", type=NUMBER, default=111, show_default=True, help="A second, at one dispatcher.")
 @click.option("--seconds", type=NUMBER, default=15, show_default=True, help="Of virtual time, a size.")
+@click.option("--repeats", type=COUNT, default=1, show_default=True, help="The lowest times count.")
 @common
 def slopes_command(
     names: tuple[str, ...],
@@ -108,13 +111,16 @@
     functions: int,
     calls: float,
     seconds: float,
+    repeats: int,
     seed: int,
     limit_seconds: float,
     **about: float,
 ) -> None:
     """One dispatcher at five sizes along each axis, the largest marked as held out."""
     size = FleetSize(workers=workers, functions=functions, calls_per_second=calls * DEFAULT.dispatchers)
-    base = Run(size, assumptions(**about), seed, seconds, monotonic() + limit_seconds, "base")
+    base = Run(
+        size, assumptions(**about), seed, seconds, monotonic() + limit_seconds, "base", repeats=repeats
+    )
     asked = list(names or AXES)
     last: Record | None = None
     for last in slopes(base, asked):
--- a/benchmarks/scale/measure.py
+++ b/benchmarks/scale/measure.py
@@ -10,7 +10,7 @@
 from multiprocessing import get_context
 from pathlib import Path
 from statistics import fmean
-from time import thread_time_ns
+from time import monotonic, thread_time_ns
 from typing import Any
 
 import structlog
@@ -38,6 +38,7 @@
 DELTAS = 6  # membership changes that are measured one by one
 AFTER_CHANGE_SECONDS = 1.0
 PROBED_FUNCTIONS = 20
+TIME_UNITS = ("_us", "_ms", "_percent_core")
 LAW_BYTES = 100  # of each function, for the law of calls, before anything of the program is there
 MEMORY_SPARE = 1.15  # what the interpreter takes beside the counted objects
 RUNTIME_SETTINGS = 1  # of a configuration file, what a running dispatcher takes over: the journal's address
@@ -55,6 +56,7 @@
     axis: str
     held_out: bool = False
     all_functions: bool = False  # whether each function is called once in the end, for the memory it takes
+    repeats: int = 1  # of times the lowest counts: other work on the machine only adds to them
 
 
 @contextmanager
@@ -335,9 +337,26 @@
             check_memory(estimate_memory_bytes(run, 1))
         measured = DispatcherRun(run)
         measured.measure()
+        for _ in range(run.repeats - 1):
+            if monotonic() > run.deadline:
+                break
+            again = DispatcherRun(run)
+            again.measure()
+            if not again.simulation.stopped:
+                measured.costs = lowest_times(measured.costs, again.costs)
         return records_of(measured)
 
 
+def lowest_times(one: dict[str, float | None], other: dict[str, float | None]) -> dict[str, float | None]:
+    """The first's costs, but the lower of the two where they are times."""
+    return {name: _lower(name, cost, other[name]) for name, cost in one.items()}
+
+
+def _lower(name: str, one: float | None, other: float | None) -> float | None:
+    is_time = name.endswith(TIME_UNITS) and not name.startswith("cold_start")
+    return min(one, other) if is_time and one is not None and other is not None else one
+
+
 def about_run(run: Run, simulation: Simulation, passed: float) -> dict[str, Any]:
     """What every record of a run says of it."""
     return {
--- a/benchmarks/scale/simulation.py
+++ b/benchmarks/scale/simulation.py
@@ -260,6 +260,7 @@
 
 def collect_as_the_program_does() -> None:
     """The thresholds of garbage collection that `martenlead.node.serve` sets."""
+    gc.unfreeze()  # of an earlier run in this process
     gc.collect()
     gc.freeze()
     gc.set_threshold(2_000, 5, 5)
--- a/benchmarks/scale/slopes.py
+++ b/benchmarks/scale/slopes.py
@@ -81,6 +81,7 @@
         axis=axis.name,
         held_out=value == axis.values[-1],
         all_functions=axis.all_functions,
+        repeats=1 if axis.all_functions else base.repeats,
     )
 
 
--- a/tests/test_scale_rig.py
+++ b/tests/test_scale_rig.py
@@ -12,7 +12,7 @@
 
 from benchmarks.scale.discovery import EventKind, Member, WorkerState, frame
 from benchmarks.scale.footprint import Part, footprint
-from benchmarks.scale.measure import Run, measure_one
+from benchmarks.scale.measure import Run, lowest_times, measure_one
 from benchmarks.scale.popularity import Popularity
 from benchmarks.scale.records import Record
 from benchmarks.scale.sizes import Assumptions, BadSize, FleetSize, check_memory, total_memory_bytes
@@ -72,7 +72,19 @@
 
 
 def test_one_record_a_role_with_all_costs() -> None:
-    ran = rig("one", "--dispatchers", "4", "--workers", "12", "--functions", "30", "--seconds", "2")
+    ran = rig(
+        "one",
+        "--dispatchers",
+        "4",
+        "--workers",
+        "12",
+        "--functions",
+        "30",
+        "--seconds",
+        "2",
+        "--repeats",
+        "2",
+    )
     records = {record["role"]: record for record in map(json.loads, ran.stdout.splitlines())}
     assert set(records) == {"dispatcher", "discovery", "configuration", "state", "worker agent"}
     costs = records["dispatcher"]["costs"]
@@ -105,6 +117,12 @@
     assert small_run(8)[0].costs["calls"] != first[0].costs["calls"]
 
 
+def test_of_repeats_the_lowest_times_count() -> None:
+    one = {"a_ms": 2.0, "b_us": 1.0, "calls": 5.0, "cold_start_p50_ms": 3.0, "state_gather_ms": None}
+    other = {"a_ms": 1.0, "b_us": 4.0, "calls": 4.0, "cold_start_p50_ms": 1.0, "state_gather_ms": None}
+    assert lowest_times(one, other) == {**one, "a_ms": 1.0}
+
+
 def test_a_fleet_shares_warm_instances() -> None:
     ran = rig("fleet", "--dispatchers", "3", "--workers", "6", "--functions", "10", "--calls", "60")
     records = {record["role"]: record for record in map(json.loads, ran.stdout.splitlines())}
