--- a/benchmarks/scale/fleet.py
+++ b/benchmarks/scale/fleet.py
@@ -35,7 +35,7 @@
 
 SAMPLED = 5  # dispatchers whose memory is sized object by object
 WARM_UP_BEFORE_SWEEP = 0.25  # of the warm-up, in which only the usual traffic comes
-COLLECT_AFTER = (50_000, 20, 100)  # as the whole fleet's heap is far larger than a dispatcher's
+COLLECT_AFTER = (200_000, 20, 100)  # as the whole fleet's heap is far larger than a dispatcher's
 
 
 class FleetRun:
@@ -63,10 +63,10 @@
 
     def _measure(self, resident: int) -> None:
         self.start()
-        gc.collect()
-        gc.freeze()
         gc.set_threshold(*COLLECT_AFTER)
+        freeze_heap()
         self.warm()
+        freeze_heap()
         self.window()
         self.costs["memory_rss_per_dispatcher_bytes"] = (resident_bytes() - resident) / len(self.dispatchers)
         self.memory()
@@ -203,6 +203,12 @@
         return spent / len(self.dispatchers) / 1e6, len(data) * len(self.dispatchers)
 
 
+def freeze_heap() -> None:
+    """Leaves what stands now out of later collections."""
+    gc.collect()
+    gc.freeze()
+
+
 def measure_fleet(run: Run, warm_up: float) -> list[Record]:
     """The records of a whole fleet. Raises BadSize."""
     with logs_discarded():
