--- a/benchmarks/scale/measure.py
+++ b/benchmarks/scale/measure.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from concurrent.futures import ProcessPoolExecutor
 from contextlib import contextmanager
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 from multiprocessing import get_context
 from pathlib import Path
 from statistics import fmean
@@ -149,7 +149,7 @@
         self.size = run.size
         self.meter = Meter()
         self.costs: dict[str, float | None] = {}
-        self.listed = discovery.members(run.size)
+        self.listed = {member.number: member for member in discovery.members(run.size)}
         self.simulation = Simulation(run.size, run.assumptions, run.seed, run.deadline)
         self.file_bytes = 0
         self.passed = 0.0
@@ -172,7 +172,7 @@
             self.resynchronisation()
 
     def start(self) -> None:
-        told, self.file_bytes, read_ms = configured(self.run, 0, self.listed)
+        told, self.file_bytes, read_ms = configured(self.run, 0, list(self.listed.values()))
         began = thread_time_ns()
         self.dispatcher = HollowDispatcher(told, self.simulation.clock, self.meter)
         self.simulation.add(self.dispatcher)
@@ -268,6 +268,8 @@
                 data = discovery.frame(version, EventKind.DELTA, [member])
                 sizes.append(len(data))
                 spent.append(self._heard(data))
+            del self.listed[number]
+            self.listed[new.number] = new
         self.costs["membership_delta_ms"] = fmean(spent) / 1e6
         self.costs["membership_delta_longest_ms"] = max(spent) / 1e6
         self.costs["membership_delta_bytes"] = fmean(sizes)
@@ -282,15 +284,16 @@
         """All workers of one zone are gone, then all are back as new processes, each in one event."""
         version = self.dispatcher.source.list.version
         started = self.simulation.now // 1_000_000
-        numbers = range(0, self.size.workers, self.size.zones)
-        lost = [Member(number, 0, WorkerState.GONE) for number in numbers]
-        back = [Member(number, 0, WorkerState.UP, started) for number in numbers]
+        zone = [member for member in self.listed.values() if member.zone == 0]
+        lost = [replace(member, state=WorkerState.GONE) for member in zone]
+        back = [replace(member, started_ms=started) for member in zone]
         data = discovery.frame(version + 1, EventKind.DELTA, lost)
         self.costs["zone_lost_bytes"] = len(data)
         self.costs["zone_lost_ms"] = self._heard(data) / 1e6
         data = discovery.frame(version + 2, EventKind.DELTA, back)
         self.costs["zone_returned_bytes"] = len(data)
         self.costs["zone_returned_ms"] = self._heard(data) / 1e6
+        self.listed |= {member.number: member for member in back}
 
     def _heard(self, data: bytes) -> int:
         """CPU ns of one event."""
@@ -299,8 +302,9 @@
         return thread_time_ns() - began
 
     def resynchronisation(self) -> None:
+        """The whole list again, as it stands: nothing in it is new."""
         version = self.dispatcher.source.list.version + 1
-        data = discovery.frame(version, EventKind.SNAPSHOT, self.listed)
+        data = discovery.frame(version, EventKind.SNAPSHOT, list(self.listed.values()))
         self.costs["resync_ms"] = self._heard(data) / 1e6
         self.costs["resync_bytes"] = len(data)
 
