Failing test: a repeat leaves after its window ended while its connection came up

A keyed request whose first attempt may have run is repeated only within the class's dedup window. The policy asks this when it decides (Brain.may_repeat, with four ticks to spare); the line may then wait for its connection up to the connect limit, and Sent.late in node/runners.py asks for the end of the request and for a drain, not for the window. Not mended here.

--- a/tests/test_repeat_window.py
+++ b/tests/test_repeat_window.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import anyio
 import pytest
 
-from tests.nodes import SETTINGS, Part, after, done, play, says
+from tests.nodes import SETTINGS, Part, Play, after, done, play, says
 
 pytestmark = pytest.mark.anyio
 
 WINDOW = 0.3  # s
+SLACK = 0.05  # s, that the protocol adds to every time limit
 KEY = "0" * 32
 fails = says("BROKE", "")
 
@@ -36,6 +38,18 @@
     return part
 
 
+def delay_connections(p: Play, seconds: Callable[[int], float]) -> None:
+    """The connection of that number, from 0, comes up so much later."""
+    connect, made = p.node.link._connect, []
+
+    async def delayed(connection: Any) -> None:
+        made.append(connection)
+        await anyio.sleep(seconds(len(made) - 1))
+        await connect(connection)
+
+    p.node.link._connect = delayed  # type: ignore[method-assign]
+
+
 @pytest.mark.parametrize(("group", "outcome"), [("all", "turned back"), ("zone", "error -32000")])
 async def test_no_repeat_once_the_window_is_over(group: str, outcome: str, tmp_path: Path) -> None:
     """Where not all workers share the window, the client is not told to try again either."""
@@ -45,3 +59,14 @@
         client = await p.client()
         assert await client.call("keyed", once=KEY, wait=1900) == outcome
         assert len(arrivals) == 1
+
+
+async def test_no_repeat_leaves_once_the_window_ended_while_its_connection_came_up(tmp_path: Path) -> None:
+    """Decided 0.1 s before the window ends, over a connection that needs 0.2 s."""
+    arrivals: list[float] = []
+    part = noting(arrivals, [after(1000 * (WINDOW - 0.1), fails)])
+    async with play(tmp_path, {"a": [part], "b": [part]}, settings=settings()) as p:
+        delay_connections(p, lambda number: 0.2 if number else 0.0)
+        client = await p.client()
+        await client.call("keyed", once=KEY, wait=1900)
+        assert arrivals[-1] - arrivals[0] <= WINDOW + SLACK
