Test: the read after two hundred at once waits until the answers of the first must have come

Cause: the test sent its last request as soon as it had read two hundred answers, and expected it to be taken. An answer counts as open for 5 ms (CROSSING), so that a machine that is quick enough has the request turned back for what is open, rightly. Change: it waits until nothing counts as open for that client, by the listener's own count, and then asks the same two things.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -249,7 +249,8 @@
             *["too much is open"] * 168,
         ]
         assert len(p.node.dispatcher.border._brain.taken) == 32
-        assert await client.call() == "turned back"  # the next read: its answers had come
+        await until(lambda: not own.counts(p.node.dispatcher.clock()))  # until its answers must have come
+        assert await client.call() == "turned back"
         assert len(p.node.dispatcher.border._brain.taken) == 33
 
 
