A keyed repeat begins inside its window on the platform link, also after a wait for a connection

Change: the link keeps what the policy said of the attempt, until when its first byte may leave, and asks it where it asks whether the request is over or the worker drains; what is withheld is told as never sent.

--- a/martenlead/node/runners.py
+++ b/martenlead/node/runners.py
@@ -35,13 +35,14 @@
 
 MOST = 32  # connections to one runner, however many descriptors there are
 STALE = 32  # hand-offs given up on one connection whose answers may still come
+NEVER = 1 << 62  # ns
 SWEEP = 500_000_000  # ns between two looks for connections that stood idle
 
 
 class Sent:
     """What is open on a connection: a hand-off, or an order."""
 
-    __slots__ = ("box", "conn", "due", "held", "line", "overdue", "told", "txn", "written")
+    __slots__ = ("begin_by", "box", "conn", "due", "held", "line", "overdue", "told", "txn", "written")
 
     def __init__(
         self,
@@ -52,17 +53,18 @@
         overdue: int,
         line: bytes,
         told: Callable[[Heard], None],
+        begin_by: int = NEVER,
     ) -> None:
-        """`held` is the task, None of an order."""
+        """`held` is the task, None of an order; the first byte may not leave after `begin_by`, ns."""
         self.txn, self.due, self.overdue, self.told = txn, due, overdue, told
-        self.box, self.held = box, held
+        self.box, self.held, self.begin_by = box, held, begin_by
         self.line = line  # until it is written
         self.conn: Conn | None = None
         self.written = 0  # when
 
-    def late(self) -> str:
+    def late(self, now: int) -> str:
         """Why it may not leave any more, or nothing."""
-        return why_late(self.held, self.box)
+        return why_late(self.held, self.box, self.begin_by, now)
 
     def hear_client(self) -> None:
         """What its client has sent since, be it the end, is read."""
@@ -70,10 +72,12 @@
             self.held.client.read_pending()
 
 
-def why_late(held: Held | None, box: Box) -> str:
+def why_late(held: Held | None, box: Box, begin_by: int, now: int) -> str:
     """Why an attempt, or an order where `held` is None, may not leave after a wait, or nothing."""
     if held is not None and held.final is not None:
         return "its task is over"
+    if now > begin_by:
+        return "its time to begin is over"
     return "" if box.up else "the runner drains or is gone"
 
 
@@ -105,7 +109,7 @@
         now = self.heard = self.since = self.link.clock()
         late = []
         for sent in list(self.open.values()):
-            why = sent.late() or ("the runner does not read" if self.full else "")
+            why = sent.late(now) or ("the runner does not read" if self.full else "")
             if why:
                 del self.open[sent.txn]
                 late.append((sent, why))
@@ -302,7 +306,7 @@
             if out not in self._deferred:
                 continue  # called off by what was read
             del self._deferred[out]
-            why = why_late(out.held, out.box)
+            why = why_late(out.held, out.box, out.hand_off.begin_by, self.clock())
             if why:
                 self.dispatcher.ended(out, Heard(Result.NOT_SENT, why=why))
             else:
@@ -325,7 +329,8 @@
         def told(heard: Heard) -> None:
             self.dispatcher.ended(out, heard)
 
-        sent = out.at = Sent(call.id, out.box, out.held, now + left, overdue, line, told)
+        begin_by = hand_off.begin_by
+        sent = out.at = Sent(call.id, out.box, out.held, now + left, overdue, line, told, begin_by)
         self._send(sent, call.met)
 
     def call_off(self, out: Out) -> None:
