--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -11,7 +11,7 @@
 
 from benchmarks.scale.fleet import measure_fleet
 from benchmarks.scale.measure import Run, measure_one
-from benchmarks.scale.records import Record, line
+from benchmarks.scale.records import Record, commit, line
 from benchmarks.scale.sizes import Assumptions, BadSize, FleetSize
 from benchmarks.scale.slopes import AXES, slopes
 
@@ -161,6 +161,7 @@
 
 def run() -> int:
     """The status of the process: a bad size is told in one line."""
+    commit()  # before anything runs: files may change meanwhile
     try:
         main(prog_name="python -m benchmarks.scale", standalone_mode=False)
     except click.exceptions.Exit as ended:
--- a/benchmarks/scale/records.py
+++ b/benchmarks/scale/records.py
@@ -6,6 +6,7 @@
 import subprocess
 from datetime import UTC, datetime
 from enum import Enum
+from functools import cache
 from pathlib import Path
 from typing import Any
 
@@ -41,8 +42,9 @@
     note: str = ""
 
 
+@cache
 def commit() -> str:
-    """The commit that is measured, with a mark where files of the program differ from it."""
+    """The commit that is measured, as it stood when first asked for, with a mark where files differ."""
     root = Path(__file__).parents[2]
 
     def git(*arguments: str) -> str:
