The list of workers is left out of garbage collections once it is known

Cause: with 7,700 workers listed and plain Zipf functions the longest step of a dispatcher was 20 to 36 ms; a probe of each engine call with the collector's own callbacks showed a full collection of 30 ms inside it, and 3.7 ms at most elsewhere. What stood at the start was left out of collections, but the list comes after that. Change: the node leaves out what stands once the list is known; the scale measurements do the same, through the same function.

--- a/benchmarks/scale/measure.py
+++ b/benchmarks/scale/measure.py
@@ -34,6 +34,7 @@
 from martenlead.lasting import knowledge
 from martenlead.lasting.store import Kind, pack
 from martenlead.node import config
+from martenlead.node.serve import leave_out_of_collections
 
 DELTAS = 6  # membership changes that are measured one by one
 AFTER_CHANGE_SECONDS = 1.0
@@ -179,6 +180,7 @@
         self.costs["configuration_read_ms"] = read_ms
         self.costs["start_ms"] = read_ms + (thread_time_ns() - began) / 1e6
         self.costs["start_received_bytes"] = self.file_bytes
+        leave_out_of_collections()  # as the program does once the list is known
 
     def traffic(self) -> None:
         meter, simulation = self.meter, self.simulation
--- a/benchmarks/scale/simulation.py
+++ b/benchmarks/scale/simulation.py
@@ -19,6 +19,7 @@
 from benchmarks.scale.sizes import MAX_WORKERS, Assumptions, BadSize, FleetSize, check_memory_in_use
 from benchmarks.scale.workers import SECOND_NS, Instance, Met, WorkerFleet
 from martenlead.edge.dispatcher import Final, Held
+from martenlead.node.serve import leave_out_of_collections
 
 EPOCH_NS = 1_700_000_000 * SECOND_NS
 CHUNK = 4_096  # arrivals drawn at a time
@@ -259,8 +260,8 @@
 
 
 def collect_as_the_program_does() -> None:
-    """The thresholds of garbage collection that `martenlead.node.serve` sets."""
+    """As `martenlead.node.serve` sets garbage collection at its start. What the list of workers adds is left
+    out of it once the list is known, which is for the caller to do."""
     gc.unfreeze()  # of an earlier run in this process
-    gc.collect()
-    gc.freeze()
     gc.set_threshold(2_000, 5, 5)
+    leave_out_of_collections()
--- a/martenlead/node/serve.py
+++ b/martenlead/node/serve.py
@@ -71,6 +71,7 @@
                 group.start_soon(self.dispatcher.run)
                 group.start_soon(self.door.run)
                 await self.dispatcher.listed.wait()
+                leave_out_of_collections()
                 host, port = self.told.listen
                 listener = Listener(await self._listen(), self.door)
                 listener.start()
@@ -161,6 +162,13 @@
     )
 
 
+def leave_out_of_collections() -> None:
+    """What stands now is looked at by no garbage collection any more, so that even a full one is short: one
+    that looks at thousands of listed workers holds up requests for tens of milliseconds."""
+    gc.collect()
+    gc.freeze()
+
+
 def main(early: Sequence[int] = ()) -> int:
     configure_log()
     try:
@@ -168,11 +176,9 @@
     except config.BadConfig as error:
         structlog.get_logger().error("no configuration that can be used", why=str(error))
         return 2
-    # as in edge/serve.py, what stands at the start is left out of collections. The rest is small, so that
-    # even a full one is short: tasks and hand-offs hold each other, and what waits to be collected is growth
-    gc.collect()
-    gc.freeze()
+    # requests and attempts hold each other, and what waits to be collected is growth
     gc.set_threshold(2_000, 5, 5)
+    leave_out_of_collections()
     status = 0
     try:
         anyio.run(node.serve, None, early, backend_options={"use_uvloop": True})
