A client that gives its place away is found by one look, not by a look at every client

Each connection that came while all places were taken had every client's socket looked at, to find one to close. A flood of idle connections kept the event loop busy by that, and what else waited was read late. They are looked at one after the other now, in the same order, until one gives way.

--- a/martenlead/node/door.py
+++ b/martenlead/node/door.py
@@ -185,9 +185,11 @@
         self.clients[client] = None
         if len(self.clients) <= self.connections:
             return
-        others = [c for c in self.clients if c is not client and not c.open and not readable(c.transport)]
-        silent = next((c for c in others if not c.spoke), None)
-        (silent or min(others, key=lambda c: c.read, default=client)).close()
+        others = [c for c in self.clients if c is not client and not c.open]
+        silent = [c for c in others if not c.spoke]
+        idle = sorted((c for c in others if c.spoke), key=lambda c: c.read)
+        # asked one by one until one gives way: all of them would cost more than the connection does
+        next((c for c in (*silent, *idle) if not readable(c.transport)), client).close()
         self.dispatcher.counts["client", "no place"] += 1
 
     def left(self, client: Client) -> None:
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -11,6 +11,7 @@
 import pytest
 
 from martenlead.interface import Result
+from martenlead.node import door
 from tests.apart import DESCRIPTORS, apart, serve_at
 from tests.fleet import until
 from tests.nodes import done, play, word
@@ -90,6 +91,22 @@
         assert [runner.connections for runner in p.runners.values()] == [1, 1, 1, 1]
 
 
+async def test_one_that_gives_way_is_found_without_asking_all(tmp_path: Path, monkeypatch: Any) -> None:
+    """A look at each of hundreds for each of hundreds that come would keep the loop busy."""
+    asked: list[Any] = []
+    async with play(tmp_path) as p:
+        p.node.door.connections = 10
+        clients = [await p.client() for _ in range(10)]
+        for client in clients[5:]:
+            assert await client.call(id=f"{id(client):016x}") == "satisfied"  # it spoke
+        real = door.readable
+        monkeypatch.setattr(door, "readable", lambda at: asked.append(at) or real(at))
+        clients += [await p.client() for _ in range(8)]
+        await until(lambda: p.node.dispatcher.counts["client", "no place"] == 8)
+        assert len(asked) == 8
+        assert all([await client.answer() is None for client in clients[:5]])
+
+
 async def test_the_journal_and_workers_come_back_while_idle_clients_fill_the_descriptors(
     tmp_path: Path,
 ) -> None:
