Scale: a fit of costs over a fleet's size, with predictions of held-out sizes judged

How a cost grows had no tool that decides it. For each role, axis and cost a constant, a logarithm, a line and n log n are fitted by least squares; a growing shape is taken only where it leaves less than half of the constant's residual, and a size that was left out is predicted and compared (within 20% or missed). No figure of a fleet is in this commit.

--- /dev/null
+++ b/benchmarks/scale/fit.py
@@ -0,0 +1,271 @@
+"""Fits how costs grow with a fleet's size, and judges the prediction for sizes that were left out.
+
+    .venv/bin/python -m benchmarks.scale.fit RECORDS.jsonl... [--json]
+
+Reads one JSON record a line, as `python -m benchmarks.scale` prints them. For each role, axis and cost four
+shapes are fitted by least squares; the one with the least residual is taken, and a growing shape only where
+it explains much more than a constant does. Bad input ends with one line on stderr and status 1.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+import sys
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import asdict, dataclass
+from enum import Enum
+from pathlib import Path
+
+import click
+import msgspec
+import numpy as np
+
+AXES = ("dispatchers", "workers", "instances", "functions", "calls_per_second", "changes_per_day", "zones")
+WHOLE_FLEET = "whole"  # the axis of a record that belongs to no series: a size run as a whole
+MINIMUM_SIZES = 4  # distinct sizes that a series needs to be fitted
+TOLERANCE = 0.20  # relative error up to which a prediction counts as met
+EVIDENCE = 0.5  # a growing shape must leave at most this part of the constant's residual
+
+
+class BadRecords(Exception):
+    """A file that holds no usable records; the message is one line that says where and why."""
+
+
+class Record(msgspec.Struct, frozen=True):
+    """One measurement. Each name in `costs` ends in its unit; `held_out` keeps it out of the fit."""
+
+    role: str
+    axis: str
+    size: dict[str, float]
+    costs: dict[str, float]
+    held_out: bool
+    seed: int
+    commit: str
+    date: str
+
+
+class Shape(Enum):
+    """How a cost grows along an axis."""
+
+    CONSTANT = "constant"
+    LOGARITHMIC = "logarithmic"
+    LINEAR = "linear"
+    N_LOG_N = "n log n"
+
+
+GROWTH: dict[Shape, Callable[[float], float]] = {
+    Shape.LOGARITHMIC: math.log,
+    Shape.LINEAR: float,
+    Shape.N_LOG_N: lambda size: size * math.log(size),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Fit:
+    """`cost = intercept + slope * growth(size)`; `residual` is the standard error over the mean cost."""
+
+    shape: Shape
+    intercept: float
+    slope: float
+    residual: float
+    sizes: int
+    smallest: float
+    largest: float
+
+    def at(self, size: float) -> float:
+        """The cost at a size of the axis; costs are never negative."""
+        if self.shape is Shape.CONSTANT:
+            return self.intercept
+        return max(0.0, self.intercept + self.slope * GROWTH[self.shape](size))
+
+
+@dataclass(frozen=True, slots=True)
+class SeriesName:
+    """What a series of measurements is of."""
+
+    role: str
+    axis: str
+    cost: str
+
+
+@dataclass(frozen=True, slots=True)
+class Prediction:
+    """A held-out size, predicted by a fit that does not contain it, beside what was measured there."""
+
+    size: float
+    predicted: float
+    measured: float
+
+    @property
+    def error(self) -> float:
+        """Signed error, as a part of the measurement."""
+        if self.measured == 0:
+            return 0.0 if self.predicted == 0 else math.inf
+        return (self.predicted - self.measured) / self.measured
+
+    @property
+    def verdict(self) -> str:
+        return "within 20%" if abs(self.error) <= TOLERANCE else "missed"
+
+
+@dataclass(frozen=True, slots=True)
+class Judgement:
+    """A series' fit, None where it has too few sizes, and the predictions for its held-out sizes."""
+
+    name: SeriesName
+    fit: Fit | None
+    predictions: tuple[Prediction, ...]
+
+
+# -- reading
+
+
+def read(paths: Iterable[Path]) -> list[Record]:
+    """All records of some files. Raises `BadRecords`."""
+    records: list[Record] = []
+    for path in paths:
+        records += _read_file(path)
+    return records
+
+
+def _read_file(path: Path) -> list[Record]:
+    try:
+        lines = path.read_text().splitlines()
+    except (OSError, UnicodeDecodeError) as error:
+        raise BadRecords(f"{path}: cannot be read: {error}") from None
+    records = [_decode(line, f"{path}:{number}") for number, line in enumerate(lines, 1) if line.strip()]
+    if not records:
+        raise BadRecords(f"{path}: holds no records")
+    return records
+
+
+def _decode(line: str, place: str) -> Record:
+    try:
+        record = msgspec.json.decode(line, type=Record)
+    except msgspec.DecodeError as error:
+        raise BadRecords(f"{place}: {error}") from None
+    _check(record, place)
+    return record
+
+
+def _check(record: Record, place: str) -> None:
+    if record.axis not in (*AXES, WHOLE_FLEET):
+        raise BadRecords(f"{place}: unknown axis {record.axis!r}")
+    for name, value in record.size.items():
+        if name not in AXES:
+            raise BadRecords(f"{place}: unknown size {name!r}")
+        if value < 0:
+            raise BadRecords(f"{place}: size {name} is negative: {value:g}")
+    if record.axis != WHOLE_FLEET and record.size.get(record.axis, 0) <= 0:
+        raise BadRecords(f"{place}: size {record.axis} is the axis and has to be positive")
+    if not record.costs:
+        raise BadRecords(f"{place}: no costs")
+
+
+# -- fitting
+
+
+def fit_series(sizes: Sequence[float], costs: Sequence[float]) -> Fit:
+    """The shape that explains a series best; needs `MINIMUM_SIZES` distinct positive sizes."""
+    if len(set(sizes)) < MINIMUM_SIZES:
+        raise ValueError(f"a fit needs {MINIMUM_SIZES} distinct sizes")
+    constant = _fit_shape(Shape.CONSTANT, sizes, costs)
+    growing = min((_fit_shape(shape, sizes, costs) for shape in GROWTH), key=lambda fit: fit.residual)
+    return growing if growing.residual < EVIDENCE * constant.residual else constant
+
+
+def _fit_shape(shape: Shape, sizes: Sequence[float], costs: Sequence[float]) -> Fit:
+    measured = np.asarray(costs, dtype=float)
+    columns = [np.ones(len(measured))]
+    if shape is not Shape.CONSTANT:
+        columns.append(np.array([GROWTH[shape](size) for size in sizes]))
+    design = np.column_stack(columns)
+    solution = np.linalg.lstsq(design, measured, rcond=None)[0]
+    deviations = measured - design @ solution
+    freedom = len(measured) - len(columns)
+    error = math.sqrt(float(deviations @ deviations) / freedom)
+    mean = float(np.mean(np.abs(measured)))
+    intercept, slope = (float(solution[0]), float(solution[1]) if len(columns) > 1 else 0.0)
+    return Fit(
+        shape, intercept, slope, error / mean if mean else 0.0, len(set(sizes)), min(sizes), max(sizes)
+    )
+
+
+def judge(records: Iterable[Record]) -> list[Judgement]:
+    """Every series of the records, sorted by name; records of whole fleets belong to none."""
+    fitted: dict[SeriesName, list[tuple[float, float]]] = defaultdict(list)
+    held_out: dict[SeriesName, list[tuple[float, float]]] = defaultdict(list)
+    for record in records:
+        if record.axis == WHOLE_FLEET:
+            continue
+        points = held_out if record.held_out else fitted
+        for cost, value in record.costs.items():
+            name = SeriesName(record.role, record.axis, cost)
+            points[name].append((record.size[record.axis], value))
+    names = sorted({*fitted, *held_out}, key=lambda name: (name.role, name.axis, name.cost))
+    return [_judge_series(name, fitted[name], held_out[name]) for name in names]
+
+
+def _judge_series(
+    name: SeriesName, fitted: list[tuple[float, float]], held_out: list[tuple[float, float]]
+) -> Judgement:
+    sizes, costs = [size for size, _ in fitted], [cost for _, cost in fitted]
+    if len(set(sizes)) < MINIMUM_SIZES:
+        return Judgement(name, None, ())
+    fit = fit_series(sizes, costs)
+    predictions = tuple(Prediction(size, fit.at(size), measured) for size, measured in sorted(held_out))
+    return Judgement(name, fit, predictions)
+
+
+# -- printing
+
+
+def as_text(judgement: Judgement) -> str:
+    """One line for a series, and one for each of its predictions."""
+    name, fit = judgement.name, judgement.fit
+    title = f"{name.role} / {name.axis} / {name.cost}"
+    if fit is None:
+        return f"{title}: not fitted, fewer than {MINIMUM_SIZES} sizes"
+    lines = [
+        f"{title}: {fit.shape.value}, {fit.intercept:.4g} + {fit.slope:.4g} * growth, "
+        f"residual {fit.residual:.1%}, {fit.sizes} sizes from {fit.smallest:g} to {fit.largest:g}"
+    ]
+    for prediction in judgement.predictions:
+        lines.append(
+            f"  at {prediction.size:g}: predicted {prediction.predicted:.4g}, "
+            f"measured {prediction.measured:.4g}, {prediction.error:+.1%}, {prediction.verdict}"
+        )
+    return "\n".join(lines)
+
+
+def as_json(judgement: Judgement) -> str:
+    """The same as one JSON object."""
+    fit = judgement.fit
+    told = {
+        **asdict(judgement.name),
+        "fit": {**asdict(fit), "shape": fit.shape.value} if fit else None,
+        "predictions": [
+            {**asdict(each), "error": each.error, "verdict": each.verdict} for each in judgement.predictions
+        ],
+    }
+    return json.dumps(told)
+
+
+@click.command()
+@click.argument("paths", nargs=-1, required=True, type=click.Path(path_type=Path))
+@click.option("--json", "json_lines", is_flag=True, help="One JSON object a series.")
+def main(paths: tuple[Path, ...], json_lines: bool) -> None:
+    """Fits the costs in files of scale records."""
+    try:
+        judgements = judge(read(paths))
+    except BadRecords as error:
+        click.echo(f"fit: {error}", err=True)
+        sys.exit(1)
+    for judgement in judgements:
+        click.echo(as_json(judgement) if json_lines else as_text(judgement))
+
+
+if __name__ == "__main__":
+    main()
