--- a/benchmarks/scale/fit.py
+++ b/benchmarks/scale/fit.py
@@ -2,7 +2,7 @@
 
     .venv/bin/python -m benchmarks.scale.fit RECORDS.jsonl... [--json]
 
-Reads one JSON record a line, as `python -m benchmarks.scale` prints them. For each role, axis and cost four
+Reads one JSON record a line, as `python -m benchmarks.scale` prints them. For each role, axis and cost the
 shapes are fitted by least squares; the one with the least residual is taken, and a growing shape only where
 it explains much more than a constant does. Bad input ends with one line on stderr and status 1.
 """
@@ -22,8 +22,18 @@
 import msgspec
 import numpy as np
 
-AXES = ("dispatchers", "workers", "instances", "functions", "calls_per_second", "changes_per_day", "zones")
-WHOLE_FLEET = "whole"  # the axis of a record that belongs to no series: a size run as a whole
+from benchmarks.scale.records import Record
+
+AXES = {  # names of axes in records, and the size that varies along each
+    "dispatchers": "dispatchers",
+    "workers": "workers",
+    "instances": "instances",
+    "functions": "functions",
+    "calls": "calls_per_second",
+    "changes": "changes_per_day",
+    "zones": "zones",
+}
+SINGLE_RUNS = ("one", "fleet")  # axes of records that belong to no series
 MINIMUM_SIZES = 4  # distinct sizes that a series needs to be fitted
 TOLERANCE = 0.20  # relative error up to which a prediction counts as met
 EVIDENCE = 0.5  # a growing shape must leave at most this part of the constant's residual
@@ -33,19 +43,6 @@
     """A file that holds no usable records; the message is one line that says where and why."""
 
 
-class Record(msgspec.Struct, frozen=True):
-    """One measurement. Each name in `costs` ends in its unit; `held_out` keeps it out of the fit."""
-
-    role: str
-    axis: str
-    size: dict[str, float]
-    costs: dict[str, float]
-    held_out: bool
-    seed: int
-    commit: str
-    date: str
-
-
 class Shape(Enum):
     """How a cost grows along an axis."""
 
@@ -53,12 +50,14 @@
     LOGARITHMIC = "logarithmic"
     LINEAR = "linear"
     N_LOG_N = "n log n"
+    INVERSE = "inverse"  # a part of a fixed total: what is divided among more of them
 
 
 GROWTH: dict[Shape, Callable[[float], float]] = {
     Shape.LOGARITHMIC: math.log,
     Shape.LINEAR: float,
     Shape.N_LOG_N: lambda size: size * math.log(size),
+    Shape.INVERSE: lambda size: 1 / size,
 }
 
 
@@ -151,15 +150,15 @@
 
 
 def _check(record: Record, place: str) -> None:
-    if record.axis not in (*AXES, WHOLE_FLEET):
+    if record.axis not in (*AXES, *SINGLE_RUNS):
         raise BadRecords(f"{place}: unknown axis {record.axis!r}")
     for name, value in record.size.items():
-        if name not in AXES:
+        if name not in AXES.values():
             raise BadRecords(f"{place}: unknown size {name!r}")
         if value < 0:
             raise BadRecords(f"{place}: size {name} is negative: {value:g}")
-    if record.axis != WHOLE_FLEET and record.size.get(record.axis, 0) <= 0:
-        raise BadRecords(f"{place}: size {record.axis} is the axis and has to be positive")
+    if record.axis in AXES and record.size.get(AXES[record.axis], 0) <= 0:
+        raise BadRecords(f"{place}: size {AXES[record.axis]} is the axis and has to be positive")
     if not record.costs:
         raise BadRecords(f"{place}: no costs")
 
@@ -194,16 +193,17 @@
 
 
 def judge(records: Iterable[Record]) -> list[Judgement]:
-    """Every series of the records, sorted by name; records of whole fleets belong to none."""
+    """Every series of the records, sorted by name; single runs belong to none."""
     fitted: dict[SeriesName, list[tuple[float, float]]] = defaultdict(list)
     held_out: dict[SeriesName, list[tuple[float, float]]] = defaultdict(list)
     for record in records:
-        if record.axis == WHOLE_FLEET:
+        if record.axis not in AXES:
             continue
         points = held_out if record.held_out else fitted
         for cost, value in record.costs.items():
-            name = SeriesName(record.role, record.axis, cost)
-            points[name].append((record.size[record.axis], value))
+            if value is not None:
+                name = SeriesName(record.role, record.axis, cost)
+                points[name].append((record.size[AXES[record.axis]], value))
     names = sorted({*fitted, *held_out}, key=lambda name: (name.role, name.axis, name.cost))
     return [_judge_series(name, fitted[name], held_out[name]) for name in names]
 
--- a/tests/test_scale_fit.py
+++ b/tests/test_scale_fit.py
@@ -23,6 +23,7 @@
         "axis": "workers",
         "size": {"workers": workers, "functions": 11_000},
         "costs": {"memory_mb": cost},
+        "assumptions": {},
         "held_out": False,
         "seed": 1,
         "commit": "0000000",
@@ -44,6 +45,7 @@
         (lambda size: 2 + 3 * math.log(size), Shape.LOGARITHMIC),
         (lambda size: 7 + 0.01 * size, Shape.LINEAR),
         (lambda size: 1 + 0.002 * size * math.log(size), Shape.N_LOG_N),
+        (lambda size: 2 + 900 / size, Shape.INVERSE),
     ],
 )
 def test_shapes_are_told_apart_under_one_percent_of_noise(
@@ -73,10 +75,12 @@
     assert prediction.verdict == verdict
 
 
-def test_roles_axes_and_costs_are_fitted_apart_and_whole_fleets_left_out(tmp_path: Path) -> None:
+def test_roles_axes_and_costs_are_fitted_apart_and_single_runs_left_out(tmp_path: Path) -> None:
     records = [record(size, 1.0) for size in SIZES]
     records += [record(size, 2.0 * size, role="state") for size in SIZES]
-    records.append(record(7700, 99.0, axis="whole"))
+    records.append(record(7700, 99.0, axis="fleet"))
+    records.append(record(7700, 99.0, axis="one"))
+    records.append(record(7700, 1.0, costs={"memory_mb": None}))
     found = judged(tmp_path, records)
     assert [(each.name.role, each.fit and each.fit.shape) for each in found] == [
         ("dispatcher", Shape.CONSTANT),
