Scale: a fit never says that a cost becomes negative, and the base is what was measured there

Along an axis that divides a fixed total, a falling logarithm was the best fit inside the range and zero just beyond it (four costs of the first slopes were predicted as 0 at 450 dispatchers). Growing shapes are growing now, an inverse keeps a limit of zero or more, and what varies by less than 2% is a constant.

--- a/benchmarks/scale/extrapolation.py
+++ b/benchmarks/scale/extrapolation.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
+from statistics import fmean
 
 from benchmarks.scale.fit import AXES, Fit, Judgement, Shape, judge
 from benchmarks.scale.records import Record
@@ -69,35 +70,41 @@
 def _estimate(
     role: str, cost: str, judgements: Sequence[Judgement], records: Sequence[Record], wanted: Size
 ) -> Estimate:
+    base = _base(role, records)
     growths = []
     for judgement in judgements:
-        axis, fitted = judgement.name.axis, judgement.fit
-        assert fitted is not None
-        base = _base(role, axis, records)
-        growths.append(AxisGrowth(axis, fitted, fitted.largest if base is None else base, wanted[AXES[axis]]))
-    at_base = sum(growth.fit.at(growth.base) for growth in growths) / len(growths)
-    return Estimate(role, cost, at_base, tuple(growths), _measured(role, cost, records, wanted))
-
-
-def _base(role: str, axis: str, records: Sequence[Record]) -> float | None:
-    """The size along an axis that the series along the other axes share; None where there are no others."""
-    sizes = Counter(
-        record.size[AXES[axis]]
-        for record in records
-        if record.role == role and record.axis in AXES and record.axis != axis
-    )
-    return sizes.most_common(1)[0][0] if sizes else None
-
-
-def _measured(role: str, cost: str, records: Sequence[Record], wanted: Size) -> float | None:
-    """The mean of what was measured at the wanted size and is in no fit."""
+        assert judgement.fit is not None
+        size = AXES[judgement.name.axis]
+        growths.append(AxisGrowth(judgement.name.axis, judgement.fit, base[size], wanted[size]))
+    at_base = _mean_cost(role, cost, records, base, held_out=False)
+    if at_base is None:
+        at_base = fmean(growth.fit.at(growth.base) for growth in growths)
+    measured = _mean_cost(role, cost, records, wanted, held_out=True)
+    return Estimate(role, cost, at_base, tuple(growths), measured)
+
+
+def _base(role: str, records: Sequence[Record]) -> Size:
+    """The size that the series of a role share: along each axis the one that is met most."""
+    found: dict[str, Counter[float]] = {}
+    for record in records:
+        if record.role == role and record.axis in AXES:
+            for name, value in record.size.items():
+                found.setdefault(name, Counter())[value] += 1
+    return {name: counted.most_common(1)[0][0] for name, counted in found.items()}
+
+
+def _mean_cost(role: str, cost: str, records: Sequence[Record], size: Size, held_out: bool) -> float | None:
+    """Of what was measured at a size, in the fits or held out of them; None where nothing was."""
     found = [
         value
         for record in records
-        if record.role == role and record.held_out and _is_size(record.size, wanted)
-        if (value := record.costs.get(cost)) is not None
+        if record.role == role
+        and record.axis in AXES
+        and record.held_out is held_out
+        and _is_size(record.size, size)
+        and (value := record.costs.get(cost)) is not None
     ]
-    return sum(found) / len(found) if found else None
+    return fmean(found) if found else None
 
 
 def _is_size(size: Size, wanted: Size) -> bool:
--- a/benchmarks/scale/fit.py
+++ b/benchmarks/scale/fit.py
@@ -36,6 +36,7 @@
 SINGLE_RUNS = ("one", "fleet")  # axes of records that belong to no series
 MINIMUM_SIZES = 4  # distinct sizes that a series needs to be fitted
 TOLERANCE = 0.20  # relative error up to which a prediction counts as met
+NEGLIGIBLE = 0.02  # residual of a constant up to which nothing else is looked for
 EVIDENCE = 0.5  # a growing shape must leave at most this part of the constant's residual
 
 
@@ -50,7 +51,7 @@
     LOGARITHMIC = "logarithmic"
     LINEAR = "linear"
     N_LOG_N = "n log n"
-    INVERSE = "inverse"  # a part of a fixed total: what is divided among more of them
+    INVERSE = "inverse"  # falls as a part of a fixed total does, or rises to a limit
 
 
 GROWTH: dict[Shape, Callable[[float], float]] = {
@@ -61,6 +62,10 @@
 }
 
 
+def _intercept(_size: float) -> float:
+    return 1.0
+
+
 @dataclass(frozen=True, slots=True)
 class Fit:
     """`cost = intercept + slope * growth(size)`; `residual` is the standard error over the mean cost."""
@@ -167,28 +172,50 @@
 
 
 def fit_series(sizes: Sequence[float], costs: Sequence[float]) -> Fit:
-    """The shape that explains a series best; needs `MINIMUM_SIZES` distinct positive sizes."""
+    """The shape that explains a series best; needs `MINIMUM_SIZES` distinct positive sizes.
+
+    Costs are not negative at any size: what grows without limit has no falling line, and the limit of an
+    inverse is zero at least.
+    """
     if len(set(sizes)) < MINIMUM_SIZES:
         raise ValueError(f"a fit needs {MINIMUM_SIZES} distinct sizes")
     constant = _fit_shape(Shape.CONSTANT, sizes, costs)
-    growing = min((_fit_shape(shape, sizes, costs) for shape in GROWTH), key=lambda fit: fit.residual)
-    return growing if growing.residual < EVIDENCE * constant.residual else constant
-
-
-def _fit_shape(shape: Shape, sizes: Sequence[float], costs: Sequence[float]) -> Fit:
+    assert constant is not None
+    if constant.residual <= NEGLIGIBLE:
+        return constant
+    others = [fit for shape in GROWTH if (fit := _fit_shape(shape, sizes, costs)) is not None]
+    best = min(others, key=lambda fit: fit.residual)
+    return best if best.residual < EVIDENCE * constant.residual else constant
+
+
+def _fit_shape(shape: Shape, sizes: Sequence[float], costs: Sequence[float]) -> Fit | None:
+    """The best fit of one shape; None where it would be one that no cost can have."""
+    if shape is Shape.CONSTANT:
+        return _least_squares(shape, sizes, costs, [_intercept])
+    fit = _least_squares(shape, sizes, costs, [_intercept, GROWTH[shape]])
+    if shape is Shape.INVERSE:
+        return fit if fit.intercept >= 0 else _least_squares(shape, sizes, costs, [GROWTH[shape]])
+    return fit if fit.slope >= 0 else None
+
+
+def _least_squares(
+    shape: Shape, sizes: Sequence[float], costs: Sequence[float], terms: Sequence[Callable[[float], float]]
+) -> Fit:
     measured = np.asarray(costs, dtype=float)
-    columns = [np.ones(len(measured))]
-    if shape is not Shape.CONSTANT:
-        columns.append(np.array([GROWTH[shape](size) for size in sizes]))
-    design = np.column_stack(columns)
+    design = np.array([[term(size) for term in terms] for size in sizes])
     solution = np.linalg.lstsq(design, measured, rcond=None)[0]
     deviations = measured - design @ solution
-    freedom = len(measured) - len(columns)
-    error = math.sqrt(float(deviations @ deviations) / freedom)
+    error = math.sqrt(float(deviations @ deviations) / (len(measured) - len(terms)))
     mean = float(np.mean(np.abs(measured)))
-    intercept, slope = (float(solution[0]), float(solution[1]) if len(columns) > 1 else 0.0)
+    factors = dict(zip(terms, solution.tolist(), strict=True))
     return Fit(
-        shape, intercept, slope, error / mean if mean else 0.0, len(set(sizes)), min(sizes), max(sizes)
+        shape=shape,
+        intercept=factors.get(_intercept, 0.0),
+        slope=factors.get(GROWTH[shape], 0.0) if shape in GROWTH else 0.0,
+        residual=error / mean if mean else 0.0,
+        sizes=len(set(sizes)),
+        smallest=min(sizes),
+        largest=max(sizes),
     )
 
 
--- a/tests/test_scale_fit.py
+++ b/tests/test_scale_fit.py
@@ -42,10 +42,13 @@
     ("growth", "shape"),
     [
         (lambda size: 5.0, Shape.CONSTANT),
+        (lambda size: 100 + size / 10_000, Shape.CONSTANT),
         (lambda size: 2 + 3 * math.log(size), Shape.LOGARITHMIC),
         (lambda size: 7 + 0.01 * size, Shape.LINEAR),
         (lambda size: 1 + 0.002 * size * math.log(size), Shape.N_LOG_N),
         (lambda size: 2 + 900 / size, Shape.INVERSE),
+        (lambda size: 30 - 900 / size, Shape.INVERSE),
+        (lambda size: 900 / size, Shape.INVERSE),
     ],
 )
 def test_shapes_are_told_apart_under_one_percent_of_noise(
@@ -60,6 +63,13 @@
     assert found.fit.at(20_000) == pytest.approx(growth(20_000), rel=0.05)
 
 
+def test_no_fit_says_that_a_cost_becomes_negative(tmp_path: Path) -> None:
+    falling = [record(size, 100 - 12 * math.log(size)) for size in SIZES[:-1]]
+    (found,) = judged(tmp_path, falling)
+    assert found.fit is not None
+    assert all(found.fit.at(size) > 0 for size in (*SIZES, 1e5, 1e7))
+
+
 @pytest.mark.parametrize(
     ("measured", "verdict"),
     [(170.0, "within 20%"), (205.0, "within 20%"), (100.0, "missed"), (0.0, "missed")],
