--- a/benchmarks/scale/extrapolation.py
+++ b/benchmarks/scale/extrapolation.py
@@ -33,7 +33,7 @@
         return self.fit.at(self.wanted) / at_base if at_base else 1.0
 
     def __str__(self) -> str:
-        return f"{self.axis}: {self.fit.shape.value} ({self.fit.residual:.0%})"
+        return f"{self.axis}: {self.fit} ({self.fit.residual:.0%})"
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,7 +122,7 @@
 
 def rows(found: Sequence[Estimate], wanted: Sequence[BudgetedCost]) -> Iterator[str]:
     """Markdown rows of the costs that were asked for, in their order; those without records are left out."""
-    yield "| role | cost | grows with (residual) | at base | predicted | measured | budget | ratio |"
+    yield "| role | cost | fits along axes (residual) | at base | predicted | measured | budget | ratio |"
     yield "| --- | --- | --- | --- | --- | --- | --- | --- |"
     by_name = {(estimate.role, estimate.cost): estimate for estimate in found}
     for each in wanted:
--- a/benchmarks/scale/fit.py
+++ b/benchmarks/scale/fit.py
@@ -60,6 +60,7 @@
     Shape.N_LOG_N: lambda size: size * math.log(size),
     Shape.INVERSE: lambda size: 1 / size,
 }
+TERMS = {Shape.LOGARITHMIC: "ln n", Shape.LINEAR: "n", Shape.N_LOG_N: "n ln n", Shape.INVERSE: "/ n"}
 
 
 def _intercept(_size: float) -> float:
@@ -78,6 +79,12 @@
     smallest: float
     largest: float
 
+    def __str__(self) -> str:
+        if self.shape is Shape.CONSTANT:
+            return f"{self.intercept:.3g}"
+        sign = "-" if self.slope < 0 else "+"
+        return f"{self.intercept:.3g} {sign} {abs(self.slope):.3g} {TERMS[self.shape]}"
+
     def at(self, size: float) -> float:
         """The cost at a size of the axis; costs are never negative."""
         if self.shape is Shape.CONSTANT:
@@ -256,7 +263,7 @@
     if fit is None:
         return f"{title}: not fitted, fewer than {MINIMUM_SIZES} sizes"
     lines = [
-        f"{title}: {fit.shape.value}, {fit.intercept:.4g} + {fit.slope:.4g} * growth, "
+        f"{title}: {fit.shape.value}, {fit}, "
         f"residual {fit.residual:.1%}, {fit.sizes} sizes from {fit.smallest:g} to {fit.largest:g}"
     ]
     for prediction in judgement.predictions:
