Of a whole list of workers that is sent again only what differs reaches the policy

Change: a line that tells nothing new is passed over, those that a list leaves out are told as gone, the first list and each list again have one log line of their own, and addresses are made text by the C library.

--- a/martenlead/edge/dispatcher.py
+++ b/martenlead/edge/dispatcher.py
@@ -130,6 +130,7 @@
         self.line, self.way = line, way
         self.runner: Any = None
         self.since = 0
+        self.started = line.start  # the life that `since` is of
         self.drains = ""  # the life that said so itself
         self.reported: dict[str, float] = {}
         self.out = 0  # hand-offs and orders whose end has not come
@@ -378,53 +379,68 @@
     # -- the roster
 
     def news(self, told: list[Line], whole: bool) -> None:
-        """What a source was told, of changes or of the whole list."""
-        news = []
-        now = self.clock()
-        gone = []
-        if whole:
+        """What a source was told, of changes or of the whole list. Of a list that is sent again only what
+        differs reaches the module: all of a long one would hold up the event loop."""
+        first = not self.boxes
+        news: list[tuple[Any, RunnerFacts]] = []
+        gone: list[Box] = []
+        if whole and not first:
             listed = {line.id for line in told}
             gone = [box for name, box in self.boxes.items() if name not in listed]
+            news = [(box.runner, box.facts(State.GONE, box.since, 1.0)) for box in gone]
         for line in told:
-            box = self.boxes.get(line.id)
-            if box is not None and box.gone and line.state != "gone":
-                box = None  # another process under that id: what is out at the one before is not its own
-            if box is None or (
-                line.state != "gone" and (line.host, line.port) != (box.line.host, box.line.port)
-            ):
-                if line.state == "gone":
-                    continue
-                if box is None:
-                    box = self.boxes[line.id] = Box(line, self.link.way(line))
-                else:
-                    self.link.leave(box.way)
-                    box.way = self.link.way(line)
-                    box.line = msgspec.structs.replace(line, start=box.line.start)
-            if not box.runner or line.start != box.line.start:
-                age = line.age_ms
-                box.since = 0 if age is None else max(1, now - round(age * 1e6))
+            box = None if self._knows(line) else self._box(line)
+            if box is None:
+                continue
             if line.state == "gone":
                 gone.append(box)
                 box.gone = True  # at once: the same news may tell of the next process under that id
             else:
                 box.line = line
-            state = STATES[line.state]
-            if state is State.UP and box.drains and box.drains == line.start:
-                state = State.DRAINING  # its own word is newer than the roster's until it has started anew
-            facts = box.facts(state, box.since, line.weight or line.memory_mb or 1.0)
+            facts = self._facts(box, line)
             if box.runner is None:
                 box.runner = self.border.runner(facts, line.id)
                 self.by_runner[box.runner] = box
             news.append((box.runner, facts))
-            self.log.info("roster", runner=line.id, state=state.value, version=self.list.version)
-        self._decide(self.border.roster, news, whole)
+            if not first:
+                self.log.info("roster", runner=line.id, state=facts.state.value, version=self.list.version)
+        self._decide(self.border.roster, news, whole and first)
         for box in gone:
             box.gone = True
             self.link.leave(box.way)
             self._sweep(box)
         if whole:
+            self.log.info("whole roster", runners=len(told), news=len(news), version=self.list.version)
             self.listed.set()
 
+    def _knows(self, line: Line) -> bool:
+        """Whether it tells nothing new; that a process has grown older is nothing new."""
+        box = self.boxes.get(line.id)
+        if box is None or box.gone:
+            return False
+        return box.line == line or box.line == msgspec.structs.replace(line, age_ms=box.line.age_ms)
+
+    def _box(self, line: Line) -> Box | None:
+        """The runner that a line is about, made where it is new; None where an unknown one is gone."""
+        box = self.boxes.get(line.id)
+        if line.state == "gone":
+            return box
+        if box is None or box.gone:  # else another process under that id: what is out is not its own
+            box = self.boxes[line.id] = Box(line, self.link.way(line))
+        elif (line.host, line.port) != (box.line.host, box.line.port):
+            self.link.leave(box.way)
+            box.way = self.link.way(line)
+        return box
+
+    def _facts(self, box: Box, line: Line) -> RunnerFacts:
+        if not box.runner or line.start != box.started:
+            box.since = 0 if line.age_ms is None else max(1, self.clock() - round(line.age_ms * 1e6))
+            box.started = line.start
+        state = STATES[line.state]
+        if state is State.UP and box.drains and box.drains == line.start:
+            state = State.DRAINING  # its own word is newer than the roster's until it has started anew
+        return box.facts(state, box.since, line.weight or line.memory_mb or 1.0)
+
     def _sweep(self, box: Box) -> None:
         """A runner that is gone is forgotten once the last of what was sent there has ended."""
         if box.gone and not box.out:
--- a/martenlead/node/journal.py
+++ b/martenlead/node/journal.py
@@ -4,7 +4,7 @@
 
 import struct
 from dataclasses import dataclass
-from ipaddress import IPv4Address
+from socket import inet_ntoa
 from typing import Any
 
 import msgspec
@@ -12,7 +12,7 @@
 from martenlead.runnerlink.roster import Line, News
 
 _HEAD = struct.Struct(">IQB")
-_RECORD = struct.Struct(">IIHBBBHIQ")
+_RECORD = struct.Struct(">I4sHBBBHIQ")
 NUMBER = struct.Struct(">Q")
 NOTHING, WHOLE, CHANGES = 0, 1, 2
 STATES = ("up", "draining", "gone")
@@ -105,7 +105,7 @@
             lines.append(
                 places.line(
                     f"s-{id:08x}",
-                    str(IPv4Address(address)),
+                    inet_ntoa(address),
                     port,
                     places.zones[zone],
                     places.kinds[kind_],
--- a/tests/test_membership_lists.py
+++ b/tests/test_membership_lists.py
@@ -7,7 +7,9 @@
 
 import anyio
 import pytest
+from msgspec.structs import replace
 
+from martenlead.interface import RunnerFacts, State
 from tests.fleet import until
 from tests.nodes import Play, after, done, frame, play, silent, word
 
@@ -87,3 +89,28 @@
         assert anyio.current_time() - started < SILENCE_LIMIT
         assert len(streams) == 1 and len(p.journal.asked) == 2
         assert await (await p.client()).call("unsafe") == "turned back"
+
+
+async def test_only_what_differs_of_a_list_that_is_sent_again_reaches_the_policy(tmp_path: Path) -> None:
+    """One that is back under its old line in the same news is another process, and not known."""
+    async with play(tmp_path, {"a": [done], "b": [done], "c": [done]}) as p:
+        dispatcher = p.node.dispatcher
+        told: list[tuple[set[tuple[int, State]], bool]] = []
+        policy_roster = dispatcher.border.roster
+
+        def note(news: list[tuple[Any, RunnerFacts]], whole: bool) -> None:
+            told.append(({(facts.mark & 0xFF, facts.state) for _, facts in news}, whole))
+            policy_roster(news, whole)
+
+        dispatcher.border.roster = note  # type: ignore[method-assign]
+        a, b, c = (replace(box.line, age_ms=5.0) for box in dispatcher.boxes.values())
+        dispatcher.news([a, b, c], True)
+        dispatcher.news([replace(a, state="draining"), b], True)
+        dispatcher.news([replace(b, state="gone"), b], False)
+        last = {line.id: ord(line.id[-1]) for line in (a, b, c)}  # an id's last byte tells them apart
+        assert told == [
+            (set(), False),
+            ({(last[a.id], State.DRAINING), (last[c.id], State.GONE)}, False),
+            ({(last[b.id], State.GONE), (last[b.id], State.UP)}, False),
+        ]
+        assert [box.up for box in dispatcher.boxes.values()] == [False, True]
