--- a/martenlead/node/serve.py
+++ b/martenlead/node/serve.py
@@ -28,7 +28,9 @@
 from martenlead.node.runners import RunnerLink
 from martenlead.node.sockets import readable
 
-OWN = 40  # descriptors for the listener, the event loop, the journal service and what the interpreter opens
+# descriptors for the listener, the event loop, the journal service, what the interpreter opens, and clients
+# that come while others give way
+OWN = 40
 STOPPING = 0.8  # s after SIGTERM in which clients still come
 KILLED, KILLED_MOST = (
     0.7,
