The checkpoint no longer imports the replay that imports it

Cause: capture/checkpoint.py named the Replayer of capture/replay.py as a type, and the replay imports the checkpoint: a circle on the graph with type-checking imports. Change: the part of a replay that a checkpoint reads and replaces is a protocol in capture/replay_state.py, below both; an acyclic contract of import-linter holds circles out of the package. The checkpoint's format is the same. Measured: the contract is broken by the code before and kept by this; ruff, mypy and lint-imports clean; tests/test_capture.py and tests/test_placement_at_scale.py: 67 passed.

--- a/martenlead/capture/checkpoint.py
+++ b/martenlead/capture/checkpoint.py
@@ -21,7 +21,7 @@
 from contextlib import contextmanager
 from pathlib import Path
 from random import Random
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import msgspec
 import xxhash
@@ -32,13 +32,11 @@
 from martenlead.brain import Brain
 from martenlead.capture.events import Input, Start
 from martenlead.capture.format import BadCapture
+from martenlead.capture.replay_state import ReplayState
 from martenlead.capture.tape import module_hash
 from martenlead.engine import Engine, Process
 from martenlead.interface import Result, Task, Wait
 
-if TYPE_CHECKING:
-    from martenlead.capture.replay import Replayer
-
 MAGIC = b"mlcheckp\x01"
 
 
@@ -202,7 +200,7 @@
         raise BadCapture(f"a checkpoint holds {name}.{what}, which is none of ours")
 
 
-def write(replayer: Replayer) -> bytes:
+def write(replayer: ReplayState) -> bytes:
     """The state between two events. Raises `CannotWrite`."""
     if replayer.made:
         raise CannotWrite("decisions have not been taken up yet")
@@ -249,7 +247,7 @@
             worker.copies = copies
 
 
-def restore(replayer: Replayer, checkpoint: Checkpoint) -> None:
+def restore(replayer: ReplayState, checkpoint: Checkpoint) -> None:
     """Puts a replayer where the one was that wrote it. Raises `BadCapture`."""
     if checkpoint.module != module_hash():
         raise BadCapture("the checkpoint is of another version of the module")
@@ -293,7 +291,7 @@
     return segment.with_suffix(".ckpt")
 
 
-def save(path: Path, t: int, replayer: Replayer) -> None:
+def save(path: Path, t: int, replayer: ReplayState) -> None:
     body = msgspec.msgpack.encode((t, module_hash(), write(replayer)))
     temporary = path.with_suffix(".ckpt.new")
     temporary.write_bytes(MAGIC + xxhash.xxh3_64_digest(body) + body)
--- /dev/null
+++ b/martenlead/capture/replay_state.py
@@ -0,0 +1,38 @@
+"""What a checkpoint reads and replaces of a replay: the interface between the two.
+
+The checkpoint needs a replay's state and the replay needs checkpoints; both import this module, and the
+checkpoint does not import the replay.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Any, Protocol
+
+from martenlead.brain import Brain
+from martenlead.capture.events import Event, Start
+from martenlead.capture.tape import Tape
+from martenlead.engine import Engine
+from martenlead.interface import Action, Order, Settings, Task
+
+
+class ReplayState(Protocol):
+    """The state of one replayed dispatcher between two events, as `Replayer` keeps it.
+
+    The names of the attributes are part of the checkpoint's format: `checkpoint.write` stores some by name.
+    """
+
+    made: deque[Event]  # decisions that have not been compared yet
+    start: Start | None
+    brain: Brain
+    engine: Engine
+    runners: list[Any]
+    models: list[Any]
+    tasks: dict[int, Task]
+    orders: dict[int, Order]
+    names: dict[Any, str]
+    _tape: Tape
+    _settings: Settings
+
+    def _outlet(self, action: Action) -> None:
+        """Takes what the engine decides."""
