Six modules of the emulator no longer import each other in a circle

Cause: box, edge, fleet, layered, planned and policies named each other's classes as types, so none could be read or imported without the others. Change: what passes between clients, dispatchers and workers is in emulator/messages.py and the records in emulator/records.py, below all; each part states as a protocol what it needs of the fleet.

--- a/martenlead/emulator/box.py
+++ b/martenlead/emulator/box.py
@@ -3,54 +3,33 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
 from random import Random
-from typing import TYPE_CHECKING, Any
+from typing import Protocol
 
-from martenlead.emulator.kernel import Process, Signal, Steps
+from martenlead.emulator.kernel import Kernel, Signal, Steps
+from martenlead.emulator.messages import Sender, Sent, Told
+from martenlead.emulator.records import Records
+from martenlead.emulator.tally import Tally
 from martenlead.interface import Result, Warmth
 from martenlead.standins.crowding import Fall
 from martenlead.standins.settings import Fault, OfferingPart, RunnerPart, VaultPart
 from martenlead.standins.shelf import Copies, Place, Shelf
 
-if TYPE_CHECKING:
-    from martenlead.emulator.edge import Edge
-    from martenlead.emulator.fleet import Fleet
-
 LOAD_NS = 30_000_000_000
 WARMTH = {b"warm": Warmth.WARM, b"began": Warmth.BEGAN, b"waited": Warmth.WAITED}
 
 
-@dataclass(slots=True, eq=False)
-class Sent:
-    """A hand-off on its way. `open` until either side has closed its connection."""
-
-    edge: Edge
-    life: int  # of the edge
-    hand_off: Any
-    held: Any
-    number: int
-    left: int
-    scheduled: bool = False
-    open: bool = True
-    at: Process | None = None  # at the runner
-
-
-@dataclass(slots=True)
-class Told:
-    """What a runner answers."""
+class VaultFleet(Protocol):
+    """What a vault needs of the fleet."""
 
-    result: Result
-    warmth: Warmth = Warmth.UNTOLD
-    drains: bool = False
-    why: str = ""
-    report: dict[str, float] = field(default_factory=dict)
+    kernel: Kernel
+    vault_records: Records
 
 
 class Vault:
     """Slows when crowded, turns away at `most`, stops for a while when pushed too far."""
 
-    def __init__(self, fleet: Fleet, part: VaultPart) -> None:
+    def __init__(self, fleet: VaultFleet, part: VaultPart) -> None:
         self.fleet, self.part = fleet, part
         self.active = 0
         self.down_until = 0
@@ -91,8 +70,40 @@
         self.seen: dict[str, tuple[int, Signal]] = {}
 
 
+class LoadSource(Protocol):
+    """Where workers' loads come from on a day with `layers`."""
+
+    def fetch(self, runner: str, model: str) -> Steps:
+        """Returns "" or the name of what failed."""
+
+
+class WorkerFleet(Protocol):
+    """What a worker needs of the fleet."""
+
+    kernel: Kernel
+    tally: Tally
+    runner_records: Records
+    vault: Vault
+
+    @property
+    def store(self) -> LoadSource | None:
+        """In place of the vault, where there is one."""
+
+    def way(self) -> int:
+        """A name for one arrival of one attempt."""
+
+    def marks(self, part: RunnerPart, offering: OfferingPart) -> Marks | None:
+        """What the worker's group has run of a deduplicated request class."""
+
+    def offering_of(self, model: str) -> OfferingPart:
+        """The request class of a function."""
+
+    def back(self, sent: Sent, told: Told) -> None:
+        """Carries an answer to the dispatcher that sent the attempt."""
+
+
 class Runner(Shelf):
-    def __init__(self, fleet: Fleet, part: RunnerPart, seed: int) -> None:
+    def __init__(self, fleet: WorkerFleet, part: RunnerPart, seed: int) -> None:
         super().__init__(part, fleet.kernel.clock, Random(f"{seed}:{part.name}"), self._wake, self._fetch)
         self.fleet, self.kernel, self.record = fleet, fleet.kernel, fleet.runner_records
         self.name = part.name
@@ -290,7 +301,7 @@
         if changed is not None:
             self.kernel.come(changed)
 
-    def ordered(self, edge: Edge, model: str, count: int, memory: float, lanes: int) -> Steps:
+    def ordered(self, edge: Sender, model: str, count: int, memory: float, lanes: int) -> Steps:
         """An order, or an ask where `count` is 0. Returns the result, the copies that stand, and whether it
         drains."""
         kernel = self.kernel
--- a/martenlead/emulator/edge.py
+++ b/martenlead/emulator/edge.py
@@ -5,10 +5,9 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
 from random import Random
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 import msgspec
 import structlog
@@ -19,12 +18,13 @@
 from martenlead.brain import Brain
 from martenlead.config import edge as config
 from martenlead.config.edge import ns, settings
-from martenlead.edge.border import Border, Both
+from martenlead.edge.border import Border, Both, Tape
 from martenlead.edge.dispatcher import Dispatcher
 from martenlead.edge.door import end_of
-from martenlead.emulator.box import Runner, Sent, Told
+from martenlead.emulator.box import Runner
 from martenlead.emulator.kernel import Signal, Steps
-from martenlead.emulator.planned import links, looks
+from martenlead.emulator.messages import Exchange, Held, Sent, Told
+from martenlead.emulator.planned import PlannerFleet, links, looks
 from martenlead.interface import (
     Action,
     Answer,
@@ -42,10 +42,7 @@
 from martenlead.lasting.knowledge import Knowledge, asks, drained, gather, past
 from martenlead.planner.edgeside import EdgeSide
 from martenlead.runnerlink.roster import Line
-from martenlead.standins.demand import Call, Try
-
-if TYPE_CHECKING:
-    from martenlead.emulator.fleet import Fleet
+from martenlead.standins.demand import Call
 
 STATES = {"up": State.UP, "draining": State.DRAINING, "gone": State.GONE}
 NEVER = 1 << 62
@@ -53,33 +50,32 @@
 ASK_WITHIN = 250_000_000  # ns after a start in which copies are asked for
 
 
-@dataclass(slots=True, eq=False)
-class Exchange:
-    """One try of a client at an edge."""
+class Watch(Protocol):
+    """The stream of the list of workers."""
+
+    def follow(self, edge: Edge, life: int) -> Steps:
+        """Tells one dispatcher, in one of its lives, of changes."""
+
+
+class DispatcherFleet(PlannerFleet, Protocol):
+    """What a dispatcher needs of the fleet. Ways are ns one way."""
 
-    call: Call
-    told: Try
-    done: Signal
-    final: str = ""  # or `unreached`, `broken`
-    wait_ms: float = 0.0
-    door: bool = False
-    appointment: str = ""
-    open: bool = True
-    held: Held | None = None
-    ticket: Ticket | None = None
+    runner_way: int
+    lasting: bool
+    expiry: bool
+    runners: dict[str, Runner]
+    names: dict[Any, str]  # of all dispatchers' functions
 
+    @property
+    def roster(self) -> Watch:
+        """Where the list of workers comes from."""
 
-class Held:
-    __slots__ = ("call", "exchange", "final", "id", "name", "task", "ticket", "wait", "why")
+    @property
+    def tape(self) -> Callable[[Edge], Tape | None]:
+        """Makes what records a dispatcher's border, where anything does."""
 
-    def __init__(self, exchange: Exchange, ticket: Ticket | None) -> None:
-        self.exchange, self.ticket = exchange, ticket
-        self.call = exchange.call
-        self.id, self.name = str(exchange.call.number), exchange.told.name
-        self.task: Task | None = None
-        self.final = ""
-        self.wait = 0
-        self.why = ""
+    def reply(self, x: Exchange, final: str, wait_ms: float, door: bool) -> None:
+        """A response, or the end of its connection, reaches a client."""
 
 
 class Box:
@@ -100,7 +96,7 @@
 
 
 class Edge:
-    def __init__(self, fleet: Fleet, number: int, about: config.Edge, policy: type[Brain]) -> None:
+    def __init__(self, fleet: DispatcherFleet, number: int, about: config.Edge, policy: type[Brain]) -> None:
         self.fleet, self.kernel, self.number, self.about = fleet, fleet.kernel, number, about
         self.policy = policy
         self.name = about.name
--- a/martenlead/emulator/fleet.py
+++ b/martenlead/emulator/fleet.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -22,12 +21,14 @@
 from martenlead.days.run import rules
 from martenlead.days.script import EdgeEvent, Plan, count_planners
 from martenlead.edge.border import Tape
-from martenlead.emulator.box import Marks, Runner, Sent, Told, Vault
-from martenlead.emulator.edge import Edge, Exchange
+from martenlead.emulator.box import Marks, Runner, Vault
+from martenlead.emulator.edge import Edge
 from martenlead.emulator.kernel import Kernel, Signal, Steps
 from martenlead.emulator.layered import Store
+from martenlead.emulator.messages import Exchange, Sent, Told
 from martenlead.emulator.planned import PlannerProcess
 from martenlead.emulator.policies import alike, find
+from martenlead.emulator.records import Records
 from martenlead.emulator.tally import Tally
 from martenlead.runnerlink.roster import Line
 from martenlead.standins.crowding import Lines
@@ -48,20 +49,6 @@
 LAST = 30_000_000_000  # ns after the day that open tasks may still take
 
 
-class Records:
-    """What passed, as the stand-ins write it down; with `keep` off only counted."""
-
-    def __init__(self, kernel: Kernel, keep: bool) -> None:
-        self.kernel, self.keep = kernel, keep
-        self.all: list[dict[str, Any]] = []
-        self.counts: Counter[str] = Counter()
-
-    def __call__(self, what: str, **about: Any) -> None:
-        self.counts[what] += 1
-        if self.keep:
-            self.all.append({"t": self.kernel.now, "what": what, **about})
-
-
 class Roster:
     """The list of runners, as late as the script says, to dispatchers that follow its stream."""
 
--- a/martenlead/emulator/layered.py
+++ b/martenlead/emulator/layered.py
@@ -6,26 +6,37 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from random import Random
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 import xxhash
 
-from martenlead.days.script import AgentEvent, Layers
-from martenlead.emulator.kernel import Process, Signal, Steps
+from martenlead.days.script import AgentEvent, Layers, Plan
+from martenlead.emulator.kernel import Kernel, Process, Signal, Steps
+from martenlead.emulator.records import Records
 from martenlead.layers.choice import MS, PARKED, Ask, Chooser, End, Failure, Pause, Want
 from martenlead.standins.crowding import Fall
 from martenlead.standins.settings import DepotPart, Fault
 
-if TYPE_CHECKING:
-    from martenlead.emulator.fleet import Fleet
-
 STEP = 20 * MS
 ANSWER = 2 * MS  # of a peer or the vault that has nothing to send
 PLACES = 5  # that a variant or a release overwrites
 AT_ONCE = 16  # chunks of one load
 
 
+class StoreFleet(Protocol):
+    """What the store of layers needs of the fleet."""
+
+    made: Plan
+    kernel: Kernel
+    vault_records: Records
+
+    @property
+    def runners(self) -> Mapping[str, object]:
+        """The workers by name, in the order of the script: one agent for each."""
+
+
 class Images:
     """Which chunks a model is, in each of its releases."""
 
@@ -59,7 +70,7 @@
 class Depot:
     """The vault: chunks and whole models at a pace, a delay, turns away, stops when pushed too far."""
 
-    def __init__(self, fleet: Fleet, part: DepotPart) -> None:
+    def __init__(self, fleet: StoreFleet, part: DepotPart) -> None:
         self.fleet, self.kernel, self.part = fleet, fleet.kernel, part
         self.record = fleet.vault_records
         self.out = 0
@@ -296,7 +307,7 @@
 
     uplink = 100e6  # bytes a second
 
-    def __init__(self, fleet: Fleet, layers: Layers) -> None:
+    def __init__(self, fleet: StoreFleet, layers: Layers) -> None:
         made = fleet.made
         assert made.samples is not None and made.depot is not None
         self.fleet, self.layers = fleet, layers
--- a/martenlead/emulator/planned.py
+++ b/martenlead/emulator/planned.py
@@ -5,27 +5,52 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import Protocol
 
+from martenlead.config.edge import Edge as EdgeSettings
 from martenlead.config.edge import ns
-from martenlead.emulator.kernel import Signal, Steps
+from martenlead.emulator.kernel import Kernel, Signal, Steps
+from martenlead.emulator.records import Records
 from martenlead.planner import frames as fr
 from martenlead.planner.edgeside import LOOK, EdgeSide
 from martenlead.planner.link import Broken, PlannerEnd
 from martenlead.planner.serve import KEEP_S, Planner, PlannerSettings
 
-if TYPE_CHECKING:
-    from martenlead.emulator.edge import Edge
-    from martenlead.emulator.fleet import Fleet
-
 START_UP = 600_000_000  # ns that a planner's process takes until it listens
 STEP = 5_000_000  # ns between two looks of a planner at its links
 
 
+class PlannerFleet(Protocol):
+    """What planners and their links need of the fleet. `client_way` is ns one way."""
+
+    kernel: Kernel
+    process_records: Records
+    client_way: int
+    planners: list[PlannerProcess]
+
+
+class LinkedDispatcher(Protocol):
+    """A dispatcher, as its links to the planners see it."""
+
+    kernel: Kernel
+    name: str
+    about: EdgeSettings
+    life: int
+    up: bool
+    side: EdgeSide | None
+
+    @property
+    def fleet(self) -> PlannerFleet:
+        """The fleet that it is part of."""
+
+    def _rearm(self) -> None:
+        """Sets the dispatcher's timer anew, after its policy may have changed what is due."""
+
+
 class PlannerProcess:
     """One planner, over its lives; what it keeps on disk outlives them."""
 
-    def __init__(self, fleet: Fleet, number: int) -> None:
+    def __init__(self, fleet: PlannerFleet, number: int) -> None:
         self.fleet, self.kernel, self.number = fleet, fleet.kernel, number
         self.life, self.up, self.hangs = 0, False, False
         self.planner: Planner | None = None
@@ -72,7 +97,7 @@
 class Link:
     """One connection: frames in both directions, in order, each after the way."""
 
-    def __init__(self, edge: Edge, at: PlannerProcess) -> None:
+    def __init__(self, edge: LinkedDispatcher, at: PlannerProcess) -> None:
         assert edge.side is not None and at.planner is not None
         self.edge, self.at, self.side = edge, at, edge.side
         self.kernel, self.way = edge.kernel, edge.fleet.client_way
@@ -136,14 +161,14 @@
                 self.kernel.after(self.way, self.to_edge, data)
 
 
-def looks(edge: Edge, side: EdgeSide, life: int) -> Steps:
+def looks(edge: LinkedDispatcher, side: EdgeSide, life: int) -> Steps:
     while edge.life == life and edge.about.models.orders:
         side.look()
         edge._rearm()
         yield LOOK
 
 
-def links(edge: Edge, side: EdgeSide, life: int) -> Steps:
+def links(edge: LinkedDispatcher, side: EdgeSide, life: int) -> Steps:
     """Keeps one dispatcher, in one of its lives, linked: the planners in their order."""
     assert edge.about.planner is not None
     told = edge.about.planner
--- a/martenlead/emulator/policies.py
+++ b/martenlead/emulator/policies.py
@@ -10,23 +10,35 @@
 import re
 import subprocess
 import sys
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from inspect import signature
 from pathlib import Path
 from types import ModuleType
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from martenlead import interface as io
 from martenlead.brain import Brain, Runner
 from martenlead.candidates import RANKED_WHOLE
-
-if TYPE_CHECKING:
-    from martenlead.emulator.fleet import Fleet
+from martenlead.emulator.box import Runner as Worker
+from martenlead.standins.settings import OfferingPart
 
 TRIES = 8  # random picks before all runners are looked at
 BOUND = 1.25  # of the mean load: what consistent hashing with bounded loads lets a runner have
 
 
+class ObservedFleet(Protocol):
+    """The fleet, as the policy that sees everything looks at it."""
+
+    runners: dict[str, Worker]
+
+    @property
+    def names(self) -> Mapping[Any, str]:
+        """Of the dispatchers' functions."""
+
+    def offering_of(self, model: str) -> OfferingPart:
+        """The request class of a function."""
+
+
 def alike(policy: type[Brain]) -> type[Brain]:
     """The same decisions, with less work where many dispatchers are in one process: the shared order of a
     model's runners follows from its mark and the roster alone, so whoever needs it first sorts it for all."""
@@ -129,7 +141,7 @@
         return next((r for r in order if self.may(task, r, but)), None)
 
 
-def oracle(fleet: Fleet) -> type[Brain]:
+def oracle(fleet: ObservedFleet) -> type[Brain]:
     """One that sees every runner as it is: the one that would be done with the task first."""
 
     class Oracle(Baseline):
@@ -169,7 +181,7 @@
 NAMES = (*NAMED, "oracle", "module@COMMIT")
 
 
-def find(name: str) -> Callable[[Fleet], type[Brain]]:
+def find(name: str) -> Callable[[ObservedFleet], type[Brain]]:
     """Raises `ValueError`."""
     if name == "oracle":
         return oracle
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -13,9 +13,10 @@
 from martenlead.config.load import decode, evaluate
 from martenlead.days.report import kept
 from martenlead.days.script import Day, plan
-from martenlead.emulator.edge import Edge, Exchange
+from martenlead.emulator.edge import Edge
 from martenlead.emulator.fleet import Fleet
 from martenlead.emulator.kernel import Kernel, Signal, Steps
+from martenlead.emulator.messages import Exchange
 
 DAYS = Path(__file__).parent.parent / "days"
 
