Captures no longer import the adapter whose program starts them

Cause: benchlink/__main__.py imports capture/benchtape.py and that imported benchlink/wire.py for its Instance: a circle of the two packages. Change: benchtape states as protocols what it records of an instance and is given what makes one; the program, which names both, passes Instance in.

--- a/martenlead/capture/benchtape.py
+++ b/martenlead/capture/benchtape.py
@@ -7,18 +7,59 @@
 
 import atexit
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol, TypeVar
 
-from martenlead.benchlink.wire import Instance
+from martenlead.brain import Brain
 from martenlead.capture.store import Store, StoreSettings
 from martenlead.capture.tape import Tape
-from martenlead.interface import Action, Answer, ModelFacts, Order, Result, RunnerFacts, Task
+from martenlead.engine import Engine
+from martenlead.interface import (
+    Action,
+    Answer,
+    Customer,
+    ModelFacts,
+    Offering,
+    Order,
+    Result,
+    RunnerFacts,
+    Settings,
+    Task,
+)
+
+
+class DispatcherProfile(Protocol):
+    """The decoded settings of a dispatcher. Request classes and tenants are by name, in their order."""
+
+    settings: Settings
+    offerings: dict[str, Offering]
+    customers: dict[str, Customer]
+
+
+class RecordableInstance(Protocol):
+    """One dispatcher of the adapter, as the recorder needs it."""
+
+    brain: Brain
+    engine: Engine
+    task_ids: dict[Task, str]
+
+    @property
+    def profile(self) -> DispatcherProfile:
+        """What the dispatcher was begun with."""
+
+    def act(self, action: Action) -> None:
+        """Carries out what the policy decided."""
+
+
+InstanceT = TypeVar("InstanceT", bound=RecordableInstance)
+
+# number of the dispatcher, the event that begins it, the time in ns, and where its replies go
+InstanceFactory = Callable[[int, dict[str, Any], int, list[dict[str, Any]]], InstanceT]
 
 
 class _Tapped:
     """Stands for the instance's brain and engine, and writes down each call before it passes it on."""
 
-    def __init__(self, instance: Instance, tape: Tape) -> None:
+    def __init__(self, instance: RecordableInstance, tape: Tape) -> None:
         self._instance, self._tape = instance, tape
         self._brain, self._engine = instance.brain, instance.engine
         self._engine.outlet = self._outlet
@@ -79,8 +120,11 @@
             self._engine.advance(now)
 
 
-def capturing(folder: str) -> Callable[[int, dict[str, Any], int, list[dict[str, Any]]], Instance]:
-    """Makes instances that capture into a folder; each life of each instance is a run of its own."""
+def capturing(folder: str, create: InstanceFactory[InstanceT]) -> InstanceFactory[InstanceT]:
+    """Makes instances that capture into a folder; each life of each instance is a run of its own.
+
+    `create` makes the instance that is recorded.
+    """
     stores: dict[int, Store] = {}
 
     def close() -> None:
@@ -89,13 +133,13 @@
 
     atexit.register(close)
 
-    def make(number: int, event: dict[str, Any], now: int, out: list[dict[str, Any]]) -> Instance:
+    def make(number: int, event: dict[str, Any], now: int, out: list[dict[str, Any]]) -> InstanceT:
         if number in stores:
             stores[number].close()
         # a bench day has no clock to keep up with: the queue holds what the day brings
         settings = StoreSettings(folder=folder, queue=10_000_000, checkpoints=False)
         store = stores[number] = Store(settings, f"instance{number}", lambda *_: None)
-        instance = Instance(number, event, now, out)
+        instance = create(number, event, now, out)
         tape = Tape(store.put, f"instance{number}")
         profile = instance.profile
         tape.start(now, profile.settings, event["seed"], list(profile.offerings), profile.customers)
