--- a/benchmarks/door.py
+++ b/benchmarks/door.py
@@ -19,7 +19,7 @@
 import click
 
 from martenlead.admission.gate import MS, End, Gate, Limits, State
-from tests.crowd import Crowd, Customer
+from support.crowd import Crowd, Customer
 
 TWO = {"portal": 1.0, "desk": 1.0}
 
--- a/benchmarks/floods.py
+++ b/benchmarks/floods.py
@@ -25,7 +25,7 @@
 from martenlead.events import http
 from martenlead.events.client import Pool
 from martenlead.events.cloudevent import Event, write
-from tests.fleet import OFFERINGS, Fleet, after, fleet, satisfied
+from support.fleet import OFFERINGS, Fleet, after, fleet, satisfied
 
 LIMITS = {
     "connections": 1000,
--- a/benchmarks/lasting.py
+++ b/benchmarks/lasting.py
@@ -22,7 +22,7 @@
 from martenlead.lasting.disk import Folder
 from martenlead.lasting.knowledge import SECOND, Knowledge, asks, gathering, past
 from martenlead.lasting.store import Kind, Store
-from tests.fleet import OFFERINGS
+from support.fleet import OFFERINGS
 
 
 def module(models: int) -> tuple[Brain, dict[Any, str], dict[Any, tuple[str, str, bool]]]:
--- a/benchmarks/planner.py
+++ b/benchmarks/planner.py
@@ -24,7 +24,8 @@
 
 from martenlead.planner import frames as fr
 from martenlead.planner.link import MS
-from tests.pair import Pair
+from support.pair import Pair
+from support.planned import answered, planned, planner, until
 
 UVLOOP = {"use_uvloop": True}
 
@@ -123,8 +124,6 @@
 
 async def lives(kind: str) -> dict[str, Any]:
     """On sockets: ms from the start of an edge's new life until copies that were held before are held."""
-    from tests.test_plan import answered, planned, planner, until
-
     with tempfile.TemporaryDirectory() as folder:
         kept = str(Path(folder) / "kept")
         async with planner(kept=kept) as (_, port):
--- a/benchmarks/sharing.py
+++ b/benchmarks/sharing.py
@@ -3,7 +3,7 @@
 
     .venv/bin/python benchmarks/sharing.py
 
-Boxes and vault are those of tests/swarm.py; only the choice of whom to ask differs. Words are asks between
+Boxes and vault are those of support/swarm.py; only the choice of whom to ask differs. Words are asks between
 boxes and, for summaries, what all tell all twice a second, at ten bits a chunk and 40 bytes a message.
 """
 
@@ -16,7 +16,7 @@
 
 from martenlead.layers.choice import MS, OWNERS, Chooser, Peer, Want
 from martenlead.layers.image import digest_of
-from tests.swarm import Swarm
+from support.swarm import Swarm
 
 EVERY = 500 * MS
 
--- a/benchmarks/ways.py
+++ b/benchmarks/ways.py
@@ -15,8 +15,8 @@
 from martenlead.admission import gate as module
 from martenlead.admission.gate import MS, SECOND, Account, Gate, Queue, Ticket
 from martenlead.admission.names import bucket
-from tests import crowd
-from tests.crowd import Crowd, Customer
+from support import crowd
+from support.crowd import Crowd, Customer
 
 
 class Fifo(Gate):
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -14,7 +14,7 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 from martenlead.node.serve import Node
-from tests.fleet import GONE, until
+from support.fleet import GONE, until
 
 Part = Callable[["Runner", SocketStream, dict[str, Any]], Awaitable[None]]
 BROKEN = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -30,7 +30,7 @@
 from martenlead.capture.store import Busy, Store, StoreSettings, runs
 from martenlead.capture.tape import Tape
 from martenlead.cli.main import commands
-from tests.fleet import after, closes, draining, error, fleet, full, satisfied, silent
+from support.fleet import after, closes, draining, error, fleet, full, satisfied, silent
 
 pytestmark = pytest.mark.anyio
 CAPTURES = Path(__file__).parent / "captures"
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -18,8 +18,8 @@
 
 from martenlead.interface import Result
 from martenlead.node.runners import Conn
+from support.fleet import until
 from tests.apart import apart
-from tests.fleet import until
 from tests.nodes import Caller, Part, Play, done, message, play, says, word
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,7 +22,7 @@
 from martenlead.interface import Result
 from martenlead.node import lines
 from martenlead.node.door import Client
-from tests.fleet import until
+from support.fleet import until
 from tests.nodes import (
     SETTINGS,
     Caller,
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -14,7 +14,7 @@
 from martenlead.events import http
 from martenlead.events.client import Pool
 from martenlead.events.cloudevent import Event, write
-from tests.fleet import OFFERINGS, after, fleet, satisfied, silent
+from support.fleet import OFFERINGS, after, fleet, satisfied, silent
 
 pytestmark = pytest.mark.anyio
 DAYS = sorted((Path(__file__).parent / "days").glob("*.jsonnet"))
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -12,8 +12,8 @@
 
 from martenlead.interface import Result
 from martenlead.node import door
+from support.fleet import until
 from tests.apart import DESCRIPTORS, apart, serve_at
-from tests.fleet import until
 from tests.nodes import done, play, word
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -16,7 +16,7 @@
 
 from martenlead.edge.door import Admin
 from martenlead.events.http import Message
-from tests.fleet import Fleet, Part, Runner, after, fleet, satisfied
+from support.fleet import Fleet, Part, Runner, after, fleet, satisfied
 
 pytestmark = pytest.mark.anyio
 SLOW = after(100, satisfied)
@@ -253,7 +253,7 @@
 
 async def test_the_command_changes_a_running_edge(tmp_path: Path) -> None:
     async with fleet({"a": [satisfied]}) as f:
-        from tests.fleet import OFFERINGS
+        from support.fleet import OFFERINGS
 
         config, wanted = tmp_path / "edge.json", tmp_path / "limits.jsonnet"
         admin = {"port": 0}
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -13,7 +13,7 @@
 from martenlead.edge.door import Admin
 from martenlead.events.http import Message
 from martenlead.runnerlink import roster
-from tests.fleet import after, draining, fleet, raw, satisfied, says, until
+from support.fleet import after, draining, fleet, raw, satisfied, says, until
 
 pytestmark = pytest.mark.anyio
 GRACE = 0.25
--- a/tests/test_forwarded_request.py
+++ b/tests/test_forwarded_request.py
@@ -8,7 +8,7 @@
 import anyio
 import pytest
 
-from tests.fleet import until
+from support.fleet import until
 from tests.nodes import SETTINGS, done, play, word
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -21,7 +21,7 @@
     Ticket,
 )
 from martenlead.admission.names import Heavy, bucket
-from tests.crowd import Crowd, Customer
+from support.crowd import Crowd, Customer
 
 TWO = {"a": 1.0, "b": 1.0}
 
--- a/tests/test_handoffs.py
+++ b/tests/test_handoffs.py
@@ -6,7 +6,7 @@
 import pytest
 
 from martenlead.events import http
-from tests.fleet import (
+from support.fleet import (
     Part,
     after,
     closes,
--- a/tests/test_interruptions.py
+++ b/tests/test_interruptions.py
@@ -10,7 +10,7 @@
 import pytest
 from anyio.abc import SocketAttribute, SocketStream
 
-from tests.fleet import until
+from support.fleet import until
 from tests.nodes import BROKEN, done, frame, play, raw, word
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -36,7 +36,7 @@
     past,
     worth,
 )
-from tests.fleet import after, fleet, satisfied, until
+from support.fleet import after, fleet, satisfied, until
 
 DAYS = Path(__file__).parent.parent / "days"
 
--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -14,7 +14,7 @@
 import anyio
 import pytest
 
-from tests.fleet import until
+from support.fleet import until
 from tests.nodes import done, play, record
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -18,7 +18,7 @@
 from martenlead.layers.cache import Cache, NoRoom, Refused
 from martenlead.layers.choice import Failure
 from martenlead.layers.image import BadImage, Cutting, Layout, digest_of, pack, verify
-from tests.swarm import Swarm
+from support.swarm import Swarm
 
 MODEL = [digest_of(b"%d" % n) for n in range(60)]
 
--- a/tests/test_membership_lists.py
+++ b/tests/test_membership_lists.py
@@ -10,7 +10,7 @@
 from msgspec.structs import replace
 
 from martenlead.interface import RunnerFacts, State
-from tests.fleet import until
+from support.fleet import until
 from tests.nodes import Play, after, done, frame, play, silent, word
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,7 +10,7 @@
 import anyio
 import pytest
 
-from tests.fleet import until
+from support.fleet import until
 from tests.nodes import SETTINGS, after, answer, done, linger, message, play, raw, record, says, silent, word
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -14,54 +14,15 @@
 
 from martenlead.cli.main import commands
 from martenlead.cli.status import lines
-from martenlead.config.edge import Edge
-from martenlead.config.load import decode
 from martenlead.events.server import listen
 from martenlead.planner import frames as fr
 from martenlead.planner.edgeside import EdgeSide
 from martenlead.planner.link import PlannerEnd
 from martenlead.planner.serve import Planner, PlannerSettings
-from tests.fleet import OFFERINGS, Fleet, fleet
+from support.fleet import fleet
+from support.planned import answered, planned, planner, until
 
 pytestmark = pytest.mark.anyio
-RATION = {"ration": {"window_ms": 5000, "free": 20, "share": 0.5}}
-
-
-async def until(what: Any, seconds: float = 20) -> None:
-    with anyio.fail_after(seconds):
-        while not what():
-            await anyio.sleep(0.01)
-
-
-@asynccontextmanager
-async def planned(ports: list[int], name: str = "edge", **link: Any) -> AsyncIterator[tuple[Fleet, EdgeSide]]:
-    """A fleet whose edge is planned for at these ports."""
-    told = {
-        "name": name,
-        "seed": 5,
-        "roster": {"port": 1},
-        "offerings": OFFERINGS,
-        "models": RATION,
-        "planner": {"at": [{"port": p} for p in ports], "lease_ms": 400, "retry_ms": 20, **link},
-    }
-    edge = decode(told, Edge, "test")
-    assert edge.planner is not None
-    side = EdgeSide(edge, edge.planner)
-    async with fleet(tape=side.tape, models=RATION, name=name) as f, anyio.create_task_group() as group:  # type: ignore[arg-type]
-        group.start_soon(side.run, f.dispatcher)
-        yield f, side
-        group.cancel_scope.cancel()
-
-
-@asynccontextmanager
-async def planner(port: int = 0, **settings: Any) -> AsyncIterator[tuple[Planner, int]]:
-    made = Planner(decode(settings, PlannerSettings, "test"))
-    listener, port = await listen("127.0.0.1", port)
-    async with anyio.create_task_group() as group:
-        group.start_soon(made.run, listener)
-        yield made, port
-        group.cancel_scope.cancel()
-    await listener.aclose()
 
 
 @asynccontextmanager
@@ -81,13 +42,6 @@
     await listener.aclose()
 
 
-async def answered(f: Fleet, count: int = 5) -> None:
-    for _ in range(count):
-        begun = anyio.current_time()
-        assert (await f.call("estimate"))[0] == 200
-        assert anyio.current_time() - begun < 0.5
-
-
 async def mirrored(one: Planner, name: str, side: EdgeSide) -> PlannerEnd:
     """The lease comes before the state: what is taken in between is part of that, and no mirror counts it."""
     await until(lambda: side.end.leased() and one.ends[name].mirror is not None)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -14,7 +14,7 @@
 from martenlead.interface import State
 from martenlead.planner import frames as fr
 from martenlead.planner.link import MS, Broken
-from tests.pair import Pair
+from support.pair import Pair
 
 
 def busy(pair: Pair, ms: int, every: int = 20, models: int = 4) -> None:
--- a/tests/test_platform_limits.py
+++ b/tests/test_platform_limits.py
@@ -16,7 +16,7 @@
 import pytest
 from anyio.abc import Process, SocketAttribute
 
-from tests.fleet import until
+from support.fleet import until
 from tests.nodes import Play, done, message
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -9,8 +9,8 @@
 import anyio
 import pytest
 
+from support.fleet import until
 from tests.apart import Apart, apart, serve_at
-from tests.fleet import until
 from tests.nodes import BROKEN, Caller, done, frame
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_request_timing.py
+++ b/tests/test_request_timing.py
@@ -9,7 +9,7 @@
 import anyio
 import pytest
 
-from tests.fleet import until
+from support.fleet import until
 from tests.nodes import after, done, play, word
 
 pytestmark = pytest.mark.anyio
