--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -91,7 +91,14 @@
     """One dispatcher of a fleet of this size."""
     size = FleetSize(dispatchers, workers, instances_per_worker, functions, calls * dispatchers, zones=zones)
     run = Run(
-        size, assumptions(**about), seed, seconds, monotonic() + limit_seconds, "one", False, all_functions
+        size,
+        assumptions(**about),
+        seed,
+        seconds,
+        monotonic() + limit_seconds,
+        "one",
+        all_functions=all_functions,
+        repeats=repeats,
     )
     for found in measure_one(run):
         click.echo(line(found))
--- a/tests/test_scale_rig.py
+++ b/tests/test_scale_rig.py
@@ -9,7 +9,9 @@
 from time import monotonic
 
 import pytest
+from click.testing import CliRunner
 
+from benchmarks.scale import __main__ as command_line
 from benchmarks.scale.discovery import EventKind, Member, WorkerState, frame
 from benchmarks.scale.footprint import Part, footprint
 from benchmarks.scale.measure import Run, lowest_times, measure_one
@@ -123,6 +125,19 @@
     assert lowest_times(one, other) == {**one, "a_ms": 1.0}
 
 
+def test_one_dispatcher_is_measured_as_often_as_asked(monkeypatch: pytest.MonkeyPatch) -> None:
+    asked: list[Run] = []
+
+    def no_records(run: Run) -> list[Record]:
+        asked.append(run)
+        return []
+
+    monkeypatch.setattr(command_line, "measure_one", no_records)
+    ran = CliRunner().invoke(command_line.main, ["one", "--repeats", "2", "--all-functions"])
+    assert ran.exit_code == 0
+    assert [(run.repeats, run.all_functions, run.held_out) for run in asked] == [(2, True, False)]
+
+
 def test_a_fleet_shares_warm_instances() -> None:
     ran = rig("fleet", "--dispatchers", "3", "--workers", "6", "--functions", "10", "--calls", "60")
     records = {record["role"]: record for record in map(json.loads, ran.stdout.splitlines())}
