The dispatcher's records and the protocols of links and sources have modules of their own

The records stand in edge/records.py and the protocols in edge/interfaces.py now; imports name the new modules, and nothing is exported twice. The code is moved unchanged but for its comments.

--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -9,7 +9,8 @@
 from benchmarks.scale import discovery
 from benchmarks.scale.meter import Activity, Meter, MeteredBorder
 from benchmarks.scale.workers import Met
-from martenlead.edge.dispatcher import Box, Dispatcher, Held, Known, Out, Wanted
+from martenlead.edge.dispatcher import Dispatcher
+from martenlead.edge.records import Box, Held, Known, Out, Wanted
 from martenlead.interface import Result, Warmth
 from martenlead.node import config, lines
 from martenlead.node.journal import Frames, age
--- a/benchmarks/scale/simulation.py
+++ b/benchmarks/scale/simulation.py
@@ -18,7 +18,7 @@
 from benchmarks.scale.popularity import Popularity, Rarity
 from benchmarks.scale.sizes import MAX_WORKERS, Assumptions, BadSize, FleetSize, check_memory_in_use
 from benchmarks.scale.workers import SECOND_NS, Instance, Met, WorkerFleet
-from martenlead.edge.dispatcher import Final, Held
+from martenlead.edge.records import Final, Held
 from martenlead.node.serve import leave_out_of_collections
 
 EPOCH_NS = 1_700_000_000 * SECOND_NS
--- a/martenlead/edge/client.py
+++ b/martenlead/edge/client.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from martenlead.edge.dispatcher import Held
+    from martenlead.edge.records import Held
 
 
 class Pending(Enum):
--- a/martenlead/edge/dispatcher.py
+++ b/martenlead/edge/dispatcher.py
@@ -11,11 +11,9 @@
 
 from collections import Counter, deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
-from enum import Enum
 from random import Random
 from time import monotonic_ns
-from typing import Any, Protocol
+from typing import Any
 
 import anyio
 import msgspec
@@ -23,208 +21,31 @@
 
 from martenlead.edge.border import Border, Tape
 from martenlead.edge.client import ClientConnection
+from martenlead.edge.interfaces import Link, Source
+from martenlead.edge.records import About, Box, Final, Held, Known, Out, Wanted
 from martenlead.edge.waits import within
 from martenlead.interface import (
     Action,
     Answer,
     AskRoster,
     CallOff,
-    Customer,
     HandOff,
     ModelFacts,
-    Offering,
     Order,
     Result,
     RunnerFacts,
     Scrap,
-    Settings,
     State,
     Task,
     TurnBack,
     Wait,
 )
 from martenlead.runnerlink.heard import Heard
-from martenlead.runnerlink.roster import Line, List
+from martenlead.runnerlink.roster import Line
 
 STATES = {"up": State.UP, "draining": State.DRAINING, "gone": State.GONE}
 
 
-class Final(Enum):
-    """The names of the final answers, and of tasks whose client left before there was one."""
-
-    SATISFIED = "satisfied"
-    TURNED_BACK = "turned back"
-    SCRAPPED = "scrapped"
-    LEFT = "left"
-
-
-@dataclass(slots=True)
-class Wanted:
-    """A task as a door has read it; times are ns, `cost` is seconds, `left` is from when it was read. `id` is
-    its client's, `mark` names it on tapes."""
-
-    offering: str
-    model: str
-    customer: str | None
-    lanes: int
-    memory_mb: float
-    cost: float
-    left: int | None
-    again: bool
-    id: str = ""
-    mark: str = ""
-
-
-class Held:
-    """A task at the door: what came, and its final answer once there is one. `content` is the door's and the
-    link's: what came, in the form that the link sends on; `answer` is what the link brought back for it;
-    `client` is the connection that it came over, where that can be asked whether its client has left."""
-
-    __slots__ = (
-        "answer",
-        "arrived",
-        "client",
-        "content",
-        "done",
-        "final",
-        "size",
-        "task",
-        "wait",
-        "wanted",
-        "why",
-    )
-
-    def __init__(
-        self,
-        wanted: Wanted,
-        arrived: int,
-        content: Any = None,
-        size: int = 0,
-        done: Callable[[Held], None] | None = None,
-        client: ClientConnection | None = None,
-    ) -> None:
-        self.wanted, self.arrived = wanted, arrived
-        self.client = client
-        self.content, self.size = content, size
-        self.task: Task | None = None
-        self.final: Final | None = None
-        self.answer: Any = None
-        self.wait = 0
-        self.why = ""
-        self.done = done
-
-    def end(self, final: Final) -> None:
-        """The first of its calls counts. `done` may be told in the middle of a decision: it calls nothing of
-        the dispatcher's but `later`."""
-        if self.final is not None:
-            return
-        self.final = final
-        if self.done is not None:
-            self.done(self)
-
-
-class Box:
-    """A runner as this process knows it: the module's object, its line in the roster, the way there."""
-
-    def __init__(self, line: Line, way: Any) -> None:
-        self.line, self.way = line, way
-        self.runner: Any = None
-        self.since = 0
-        self.started = line.start  # the life that `since` is of
-        self.drains = ""  # the life that said so itself
-        self.reported: dict[str, float] = {}
-        self.out = 0  # hand-offs and orders whose end has not come
-        self.gone = False
-
-    @property
-    def up(self) -> bool:
-        """Neither drained nor gone, as far as it was told: what has waited to be sent there may leave."""
-        return not self.gone and self.runner.facts.state is State.UP
-
-    def facts(self, state: State, since: int, weight: float) -> RunnerFacts:
-        line = self.line
-        mark = int.from_bytes(line.id.encode(), "big")
-        return RunnerFacts(mark, line.zone, line.cell, line.memory_mb or 1.0, weight, state, since)
-
-
-class Known:
-    """A model: the module's object and its name."""
-
-    __slots__ = ("lanes", "memory_mb", "model", "name", "open")
-
-    def __init__(self, name: str, model: Any, lanes: int, memory_mb: float) -> None:
-        self.name, self.model, self.lanes, self.memory_mb = name, model, lanes, memory_mb
-        self.open = 0  # tasks held
-
-
-class Out:
-    """A hand-off on its way. `at` is the link's own."""
-
-    __slots__ = ("at", "box", "hand_off", "held", "number")
-
-    def __init__(self, hand_off: HandOff, held: Held, box: Box, number: int) -> None:
-        self.hand_off, self.held, self.box, self.number = hand_off, held, box, number
-        self.at: Any = None
-
-
-class Way(Protocol):
-    """What a link has open to one runner, and has opened in all."""
-
-    @property
-    def open(self) -> int: ...
-    @property
-    def opened(self) -> int: ...
-
-
-class Link(Protocol):
-    """Carries hand-offs and orders to runners. Each has exactly one end: of a hand-off by `Dispatcher.ended`,
-    of an order by what was given with it. Ends may be told at any time, from within these calls too."""
-
-    def use(self, dispatcher: Dispatcher) -> None:
-        """Before all else: who is told."""
-
-    async def run(self) -> None:
-        """Until cancelled."""
-
-    def way(self, line: Line) -> Any:
-        """To a runner at this address; nothing is opened yet. A `Way`."""
-
-    def leave(self, way: Any) -> None:
-        """Nothing new will be sent there; what is open ends as it would."""
-
-    def hand_off(self, out: Out) -> None: ...
-
-    def call_off(self, out: Out) -> None:
-        """It still has its one end, be it an answer that was on its way."""
-
-    def order(self, box: Box, known: Known, copies: int, told: Callable[[Heard], None]) -> None: ...
-
-
-class Source(Protocol):
-    """Where news of the roster come from."""
-
-    list: List
-
-    async def run(self, dispatcher: Dispatcher) -> None:
-        """Tells `Dispatcher.news` until cancelled."""
-
-
-@dataclass(slots=True)
-class About:
-    """What a dispatcher is told at its start. Times are ns; `hard` are the offerings' hard limits; `margin`
-    is taken off the time that a client says is left; `models` may be known at once."""
-
-    name: str
-    seed: int
-    settings: Settings
-    offerings: dict[str, Offering]
-    customers: dict[str, Customer]
-    hard: dict[str, int]
-    margin: int
-    models: int
-    decisions: bool = False  # a line a decision
-
-
 class Dispatcher:
     """One `Engine` and what is around it. `run` holds its task group; all else is called inside it."""
 
--- a/martenlead/edge/door.py
+++ b/martenlead/edge/door.py
@@ -14,9 +14,10 @@
 from martenlead.admission import gate, token
 from martenlead.admission.gate import End, Gate, State, Ticket
 from martenlead.config.edge import Edge, ns
-from martenlead.edge.dispatcher import Dispatcher, Final, Held, Wanted
+from martenlead.edge.dispatcher import Dispatcher
 from martenlead.edge.httplink import Content
 from martenlead.edge.protocol import wanted
+from martenlead.edge.records import Final, Held, Wanted
 from martenlead.events import cloudevent
 from martenlead.events.cloudevent import BadEvent, Event
 from martenlead.events.http import Headers, Limits, Message
--- a/martenlead/edge/httplink.py
+++ b/martenlead/edge/httplink.py
@@ -20,7 +20,8 @@
 
 from martenlead.config.edge import Edge, ns, settings
 from martenlead.edge.border import Tape
-from martenlead.edge.dispatcher import About, Box, Dispatcher, Known, Out
+from martenlead.edge.dispatcher import Dispatcher
+from martenlead.edge.records import About, Box, Known, Out
 from martenlead.events import http
 from martenlead.events.client import Exchange, Pool, Sending
 from martenlead.interface import Result
--- a/martenlead/edge/protocol.py
+++ b/martenlead/edge/protocol.py
@@ -4,7 +4,7 @@
 
 import time
 
-from martenlead.edge.dispatcher import Wanted
+from martenlead.edge.records import Wanted
 from martenlead.events.cloudevent import BadEvent, Event, parse_time
 
 INTEGER_MOST = 2**31 - 1
--- a/martenlead/node/config.py
+++ b/martenlead/node/config.py
@@ -10,7 +10,7 @@
 from msgspec import Meta
 
 from martenlead.benchlink.settings import BadSettings, Profile, ns
-from martenlead.edge.dispatcher import About
+from martenlead.edge.records import About
 from martenlead.node.journal import Known, Places
 from martenlead.runnerlink.roster import News
 
--- a/martenlead/node/door.py
+++ b/martenlead/node/door.py
@@ -13,7 +13,8 @@
 import anyio
 
 from martenlead.edge.client import Pending
-from martenlead.edge.dispatcher import Dispatcher, Final, Held, Wanted
+from martenlead.edge.dispatcher import Dispatcher
+from martenlead.edge.records import Final, Held, Wanted
 from martenlead.node import rpc, sockets
 from martenlead.node.rpc import BadCall, Call
 from martenlead.node.sockets import readable
--- a/martenlead/node/runners.py
+++ b/martenlead/node/runners.py
@@ -23,7 +23,8 @@
 from anyio.abc import TaskGroup
 
 from martenlead.edge.client import Pending
-from martenlead.edge.dispatcher import Box, Dispatcher, Held, Known, Out
+from martenlead.edge.dispatcher import Dispatcher
+from martenlead.edge.records import Box, Held, Known, Out
 from martenlead.edge.waits import within
 from martenlead.interface import Result, Warmth
 from martenlead.node import lines
