Membership is a class of its own that the dispatcher holds

The dispatcher also kept the table of workers, judged what of a source's news is new and told the policy of it. That is edge/membership.py now: the tables by id and by the policy's object, news, a worker's own word that it drains, forgetting, and the rows that operators see. The dispatcher keeps `news` and `drains` for sources and links and hands them on. A border that measures is put in by `use_border`, so that the scale benchmark's still stands before every part.

--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -161,7 +161,7 @@
         self.source = ListSource()
         self.dispatcher = Dispatcher(told.about, self.link, self.source, clock)
         metered: Any = MeteredBorder(self.dispatcher.border, meter)
-        self.dispatcher.border = metered
+        self.dispatcher.use_border(metered)
         self.frames = Frames(told.places)
         self.control = ControlCounts()
         self.armed = 1 << 62  # when the simulation runs the timers next
--- a/martenlead/edge/dispatcher.py
+++ b/martenlead/edge/dispatcher.py
@@ -16,12 +16,12 @@
 from typing import Any
 
 import anyio
-import msgspec
 import structlog
 
 from martenlead.edge.border import Border, Tape
 from martenlead.edge.client import ClientConnection
 from martenlead.edge.interfaces import Link, Source
+from martenlead.edge.membership import Membership
 from martenlead.edge.records import About, Box, Final, Held, Known, Out, Wanted
 from martenlead.edge.waits import within
 from martenlead.interface import (
@@ -33,9 +33,7 @@
     ModelFacts,
     Order,
     Result,
-    RunnerFacts,
     Scrap,
-    State,
     Task,
     TurnBack,
     Wait,
@@ -43,8 +41,6 @@
 from martenlead.runnerlink.heard import Heard
 from martenlead.runnerlink.roster import Line
 
-STATES = {"up": State.UP, "draining": State.DRAINING, "gone": State.GONE}
-
 
 class Dispatcher:
     """One `Engine` and what is around it. `run` holds its task group; all else is called inside it."""
@@ -66,8 +62,8 @@
         self.border = Border(told, about.seed, clock, self._outlet, tape, names)
         self.chance = Random(about.seed)
         self.log = structlog.get_logger().bind(edge=about.name)
-        self.boxes: dict[str, Box] = {}
-        self.by_runner: dict[Any, Box] = {}
+        self.membership = Membership(source.list, self.border, link, clock, self._decide, about.name)
+        self.boxes, self.by_runner = self.membership.boxes, self.membership.by_runner
         self.models: dict[str, Known] = {}  # the last used last
         self.by_model: dict[Any, Known] = {}
         self.held: dict[Task, Held] = {}
@@ -83,11 +79,15 @@
         self._until = 0
         self._faulty = anyio.Event()
         self.faults = 0
-        self.listed = anyio.Event()
+        self.listed = self.membership.listed
         self.about_planner: Callable[[], dict[str, Any]] | None = None
         self.about_door: Callable[[], dict[str, Any]] | None = None
         link.use(self)
 
+    def use_border(self, border: Border) -> None:
+        """Puts another border in the place of its own, such as one that measures; before `run`."""
+        self.border = self.membership.border = border
+
     # -- life
 
     async def run(self) -> None:
@@ -197,87 +197,15 @@
                 if count >= 50:
                     worst, count = worst // 2, 0
 
-    # -- the roster
+    # -- membership
 
     def news(self, told: list[Line], whole: bool) -> None:
-        """What a source was told, of changes or of the whole list. Of a list that is sent again only what
-        differs reaches the module: all of a long one would hold up the event loop."""
-        first = not self.boxes
-        news: list[tuple[Any, RunnerFacts]] = []
-        gone: list[Box] = []
-        if whole and not first:
-            listed = {line.id for line in told}
-            gone = [box for name, box in self.boxes.items() if name not in listed]
-            news = [(box.runner, box.facts(State.GONE, box.since, 1.0)) for box in gone]
-        for line in told:
-            box = None if self._knows(line) else self._box(line)
-            if box is None:
-                continue
-            if line.state == "gone":
-                gone.append(box)
-                box.gone = True  # at once: the same news may tell of the next process under that id
-            else:
-                box.line = line
-            facts = self._facts(box, line)
-            if box.runner is None:
-                box.runner = self.border.runner(facts, line.id)
-                self.by_runner[box.runner] = box
-            news.append((box.runner, facts))
-            if not first:
-                self.log.info("roster", runner=line.id, state=facts.state.value, version=self.list.version)
-        self._decide(self.border.roster, news, whole and first)
-        for box in gone:
-            box.gone = True
-            self.link.leave(box.way)
-            self._sweep(box)
-        if whole:
-            self.log.info("whole roster", runners=len(told), news=len(news), version=self.list.version)
-            self.listed.set()
-
-    def _knows(self, line: Line) -> bool:
-        """Whether it tells nothing new; that a process has grown older is nothing new."""
-        box = self.boxes.get(line.id)
-        if box is None or box.gone:
-            return False
-        return box.line == line or box.line == msgspec.structs.replace(line, age_ms=box.line.age_ms)
-
-    def _box(self, line: Line) -> Box | None:
-        """The runner that a line is about, made where it is new; None where an unknown one is gone."""
-        box = self.boxes.get(line.id)
-        if line.state == "gone":
-            return box
-        if box is None or box.gone:  # else another process under that id: what is out is not its own
-            box = self.boxes[line.id] = Box(line, self.link.way(line))
-        elif (line.host, line.port) != (box.line.host, box.line.port):
-            self.link.leave(box.way)
-            box.way = self.link.way(line)
-        return box
-
-    def _facts(self, box: Box, line: Line) -> RunnerFacts:
-        if not box.runner or line.start != box.started:
-            box.since = 0 if line.age_ms is None else max(1, self.clock() - round(line.age_ms * 1e6))
-            box.started = line.start
-        state = STATES[line.state]
-        if state is State.UP and box.drains and box.drains == line.start:
-            state = State.DRAINING  # its own word is newer than the roster's until it has started anew
-        return box.facts(state, box.since, line.weight or line.memory_mb or 1.0)
-
-    def _sweep(self, box: Box) -> None:
-        """A runner that is gone is forgotten once the last of what was sent there has ended."""
-        if box.gone and not box.out:
-            self.by_runner.pop(box.runner, None)
-            if self.boxes.get(box.line.id) is box:
-                del self.boxes[box.line.id]
+        """What a source was told, of changes or of the whole list."""
+        self.membership.news(told, whole)
 
     def drains(self, box: Box) -> None:
-        """A runner's own word that it drains counts as word, ahead of the roster."""
-        if box.drains == box.line.start and box.drains:
-            return
-        box.drains = box.line.start
-        facts = box.facts(State.DRAINING, box.since, box.line.weight or box.line.memory_mb or 1.0)
-        if box.line.id in self.list.lines:
-            self._decide(self.border.roster, [(box.runner, facts)], False)
-            self.log.info("drains by its own word", runner=box.line.id)
+        """A worker's own word that it drains."""
+        self.membership.drains(box)
 
     # -- tasks
 
@@ -439,7 +367,7 @@
             held.end(Final.SATISFIED)
         lag = max(0, now - hand_off.sent)
         self._decide(self.border.answered, Answer(hand_off, told.result, final, told.warmth, lag))
-        self._sweep(box)
+        self.membership.forget(box)
         if self.about.decisions:
             self.log.info(
                 "hears", task=held.wanted.id, runner=box.line.id, result=told.result.value, why=told.why
@@ -465,7 +393,7 @@
             self.counts["load failed", heard.failure] += 1
         self.counts["order", heard.result.value] += 1
         self._decide(self.border.ordered, order, heard.result, heard.copies)
-        self._sweep(box)
+        self.membership.forget(box)
         if self.about.decisions:
             known = self.by_model.get(order.model)
             name = known.name if known is not None else ""
@@ -509,7 +437,7 @@
             box.out -= 1
             self.counts["ask", heard.result.value] += 1
             self._decide(self.border.recalled, box.runner, known.model, heard.result, heard.copies, touched)
-            self._sweep(box)
+            self.membership.forget(box)
 
         box.out += 1
         self.link.order(box, known, 0, lambda heard: self.later(answered, heard))
@@ -517,7 +445,7 @@
     # -- what operators see
 
     def state(self) -> dict[str, Any]:
-        now = self.clock()
+        """Of the process, in plain values."""
         return {
             "edge": self.about.name,
             "roster": {"version": self.list.version, "runners": len(self.list.lines)},
@@ -530,15 +458,5 @@
             "worst_lag_ms": self.worst_lag / 1e6,
             "closest_answer_ms": None if self.closest is None else self.closest / 1e6,
             "counts": {f"{kind}/{name}": n for (kind, name), n in sorted(self.counts.items())},
-            "runners": [
-                {
-                    "id": box.line.id,
-                    "state": box.runner.facts.state.value,
-                    "age_ms": (now - box.since) / 1e6 if box.since else None,
-                    "connections": box.way.open,
-                    "opened": box.way.opened,
-                    "report": box.reported,
-                }
-                for box in self.boxes.values()
-            ],
+            "runners": self.membership.report(),
         }
--- /dev/null
+++ b/martenlead/edge/membership.py
@@ -0,0 +1,140 @@
+"""Membership as this process knows it: which workers there are, in which state, and who tells the policy.
+
+A source of membership calls `Membership.news`; a link that hears from a worker itself that it drains calls
+`Membership.drains`. Only what changes reaches the policy.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import msgspec
+import structlog
+
+from martenlead.edge.border import Border
+from martenlead.edge.interfaces import Link
+from martenlead.edge.records import Box
+from martenlead.interface import RunnerFacts, State
+from martenlead.runnerlink.roster import Line, List
+
+STATES = {"up": State.UP, "draining": State.DRAINING, "gone": State.GONE}
+UNKNOWN_WEIGHT = 1.0  # of a worker that tells neither weight nor memory
+
+
+class Membership:
+    """The workers, by id and by the policy's object."""
+
+    def __init__(
+        self,
+        lines: List,
+        border: Border,
+        link: Link,
+        clock: Callable[[], int],
+        decide: Callable[..., Any],
+        name: str,
+    ) -> None:
+        """`lines` is the source's list; `clock` gives ns; `decide` makes one call of the border, whose
+        decisions are carried out meanwhile; `name` is the dispatcher's, for the log."""
+        self.lines, self.border, self.link, self.clock = lines, border, link, clock
+        self.boxes: dict[str, Box] = {}
+        self.by_runner: dict[Any, Box] = {}
+        self.listed = anyio.Event()  # set once a whole list has come
+        self.log = structlog.get_logger().bind(edge=name)
+        self._decide = decide
+
+    def news(self, told: list[Line], whole: bool) -> None:
+        """What a source was told, of changes or of the whole list. Of a list that is sent again only what
+        differs reaches the policy: all of a long one would hold up the event loop."""
+        first = not self.boxes
+        news: list[tuple[Any, RunnerFacts]] = []
+        gone: list[Box] = []
+        if whole and not first:
+            listed = {line.id for line in told}
+            gone = [box for name, box in self.boxes.items() if name not in listed]
+            news = [(box.runner, box.facts(State.GONE, box.since, UNKNOWN_WEIGHT)) for box in gone]
+        for line in told:
+            box = None if self._is_known(line) else self._box_of(line)
+            if box is None:
+                continue
+            if line.state == "gone":
+                gone.append(box)
+                box.gone = True  # at once: the same news may tell of the next process under that id
+            else:
+                box.line = line
+            facts = self._facts(box, line)
+            if box.runner is None:
+                box.runner = self.border.runner(facts, line.id)
+                self.by_runner[box.runner] = box
+            news.append((box.runner, facts))
+            if not first:
+                self.log.info("roster", runner=line.id, state=facts.state.value, version=self.lines.version)
+        self._decide(self.border.roster, news, whole and first)
+        for box in gone:
+            box.gone = True
+            self.link.leave(box.way)
+            self.forget(box)
+        if whole:
+            self.log.info("whole roster", runners=len(told), news=len(news), version=self.lines.version)
+            self.listed.set()
+
+    def _is_known(self, line: Line) -> bool:
+        """Whether it tells nothing new; that a process has grown older is nothing new."""
+        box = self.boxes.get(line.id)
+        if box is None or box.gone:
+            return False
+        return box.line == line or box.line == msgspec.structs.replace(line, age_ms=box.line.age_ms)
+
+    def _box_of(self, line: Line) -> Box | None:
+        """The worker that a line is about, made where it is new; None where an unknown one is gone."""
+        box = self.boxes.get(line.id)
+        if line.state == "gone":
+            return box
+        if box is None or box.gone:  # else another process under that id: what is out is not its own
+            box = self.boxes[line.id] = Box(line, self.link.way(line))
+        elif (line.host, line.port) != (box.line.host, box.line.port):
+            self.link.leave(box.way)
+            box.way = self.link.way(line)
+        return box
+
+    def _facts(self, box: Box, line: Line) -> RunnerFacts:
+        if not box.runner or line.start != box.started:
+            box.since = 0 if line.age_ms is None else max(1, self.clock() - round(line.age_ms * 1e6))
+            box.started = line.start
+        state = STATES[line.state]
+        if state is State.UP and box.drains and box.drains == line.start:
+            state = State.DRAINING  # its own word is newer than the source's until it has started anew
+        return box.facts(state, box.since, line.weight or line.memory_mb or UNKNOWN_WEIGHT)
+
+    def forget(self, box: Box) -> None:
+        """Forgets a worker that is gone, once the last of what was sent there has ended."""
+        if box.gone and not box.out:
+            self.by_runner.pop(box.runner, None)
+            if self.boxes.get(box.line.id) is box:
+                del self.boxes[box.line.id]
+
+    def drains(self, box: Box) -> None:
+        """A worker's own word that it drains counts ahead of what the source has told."""
+        if box.drains == box.line.start and box.drains:
+            return
+        box.drains = box.line.start
+        facts = box.facts(State.DRAINING, box.since, box.line.weight or box.line.memory_mb or 1.0)
+        if box.line.id in self.lines.lines:
+            self._decide(self.border.roster, [(box.runner, facts)], False)
+            self.log.info("drains by its own word", runner=box.line.id)
+
+    def report(self) -> list[dict[str, Any]]:
+        """What operators see of each worker."""
+        now = self.clock()
+        return [
+            {
+                "id": box.line.id,
+                "state": box.runner.facts.state.value,
+                "age_ms": (now - box.since) / 1e6 if box.since else None,
+                "connections": box.way.open,
+                "opened": box.way.opened,
+                "report": box.reported,
+            }
+            for box in self.boxes.values()
+        ]
