The decision loop and the measure of the event loop's lag leave the dispatcher

When the policy is called, what has to wait for the end of a decision, the timers and the handling of faults are edge/decision_loop.py; the tick is measured in edge/event_loop_lag.py, with its numbers named. The dispatcher binds `later` and the calls of the border at its start, so that a request passes no further layer. One test reads the tick where it stands now; what it asserts is unchanged.

--- /dev/null
+++ b/martenlead/edge/decision_loop.py
@@ -0,0 +1,107 @@
+"""When the policy decides: what is due, what has to wait until a decision has ended, and faults in between.
+
+The policy may not be called back in the middle of a decision: its generator is running then. `DecisionLoop`
+knows whether it is, keeps what comes meanwhile, and does it with all that is due once the decision has ended.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import structlog
+
+from martenlead.edge.border import Border
+from martenlead.edge.waits import within
+
+NEVER = 1 << 62  # ns, later than any clock
+LONGEST_SLEEP = 3600  # s
+NS_PER_SECOND = 1e9
+
+
+class DecisionLoop:
+    """Calls the border, one call at a time. `run` wakes it for what is due while nothing else happens."""
+
+    def __init__(
+        self, border: Border, clock: Callable[[], int], counts: Counter[tuple[str, str]], name: str
+    ) -> None:
+        """`clock` gives ns; faults are added to `counts`; `name` is the dispatcher's, for the log."""
+        self.border, self.clock, self.counts = border, clock, counts
+        self.log = structlog.get_logger().bind(edge=name)
+        self.faults = 0
+        self.faulty = anyio.Event()  # set at the first fault
+        self._later: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()
+        self._is_busy = False  # the policy is deciding, or what waits for that is being done
+        self._sooner = anyio.Event()  # something is due before `run` would wake
+        self._until = 0
+
+    async def run(self) -> None:
+        """Until cancelled."""
+        while True:
+            due = self.border.due()
+            self._until = NEVER if due is None else due
+            left = (self._until - self.clock()) / NS_PER_SECOND
+            if left > 0:
+                with within(min(left, LONGEST_SLEEP)):
+                    await self._sooner.wait()
+            if self._sooner.is_set():
+                self._sooner = anyio.Event()
+            self.run_due()
+            await anyio.sleep(0)
+
+    def later(self, work: Callable[..., None], *args: Any) -> None:
+        """Does it once the policy has decided, or at once if it is not deciding. In the middle of a decision
+        the policy may not be called back: its generator is running."""
+        self._later.append((work, args))
+        if not self._is_busy:
+            self.run_due()
+
+    def run_due(self) -> None:
+        """After each call of the border: what had to wait for its end, and what is due. That is done here and
+        now: a busy loop comes to its timers late, and behind all that is ready already."""
+        if self._is_busy:
+            return
+        self._is_busy = True
+        try:
+            while True:
+                if self._later:
+                    work, args = self._later.popleft()
+                    work(*args)
+                    continue
+                due = self.border.due()
+                if due is None or due > self.clock():
+                    break
+                self.border.advance()
+        except Exception as error:
+            self.fault(error)
+            if self._later:  # one that fails costs no other its turn
+                self._sooner.set()
+        finally:
+            self._is_busy = False
+        due = self.border.due()
+        if due is not None and due < self._until:
+            self._until = due
+            self._sooner.set()
+
+    def decide(self, call: Callable[..., Any], *args: Any) -> Any:
+        """One call of the border, whose decisions are carried out meanwhile; None after a fault."""
+        nested, self._is_busy = self._is_busy, True
+        try:
+            return call(*args)
+        except Exception as error:
+            self.fault(error)
+            return None
+        finally:
+            self._is_busy = nested
+            if not nested:
+                self.run_due()
+
+    def fault(self, error: Exception) -> None:
+        """An exception where none should be, of the policy or ours: it is logged and counted, and costs
+        no other request anything."""
+        self.log.error("a fault of ours", exc_info=error)
+        self.counts["fault", type(error).__name__] += 1
+        self.faults += 1
+        self.faulty.set()
--- a/martenlead/edge/dispatcher.py
+++ b/martenlead/edge/dispatcher.py
@@ -2,14 +2,14 @@
 
 A task's way: `take` makes it known to the module, whose generator asks for hand-offs through `_outlet`; the
 link carries each to its runner and reports its end by `ended`, which goes back as an `Answer`; the final
-answer is set on `Held`, whose `done` tells the door. Here stand the objects that ids mean, the timers, the
+answer is set on `Held`, whose `done` tells the door. Here stand the objects that ids mean, the
 held tasks and the border; what is spoken with clients, runners and the roster is known to the doors, links
 and sources alone.
 """
 
 from __future__ import annotations
 
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable, Iterable
 from random import Random
 from time import monotonic_ns
@@ -20,10 +20,11 @@
 
 from martenlead.edge.border import Border, Tape
 from martenlead.edge.client import ClientConnection
+from martenlead.edge.decision_loop import DecisionLoop
+from martenlead.edge.event_loop_lag import EventLoopLag
 from martenlead.edge.interfaces import Link, Source
 from martenlead.edge.membership import Membership
 from martenlead.edge.records import About, Box, Final, Held, Known, Out, Wanted
-from martenlead.edge.waits import within
 from martenlead.interface import (
     Action,
     Answer,
@@ -57,11 +58,16 @@
         told = about.settings
         told.functions = about.models
         self.offerings, self.customers, self.hard = about.offerings, about.customers, about.hard
-        self.tick, self.margin = told.tick, about.margin
+        self.margin = about.margin
         names = list(self.offerings), self.customers
         self.border = Border(told, about.seed, clock, self._outlet, tape, names)
         self.chance = Random(about.seed)
         self.log = structlog.get_logger().bind(edge=about.name)
+        self.counts: Counter[tuple[str, str]] = Counter()
+        self.loop = DecisionLoop(self.border, clock, self.counts, about.name)
+        # bound here: a call of them passes no further layer
+        self.later, self._decide, self._rearm = self.loop.later, self.loop.decide, self.loop.run_due
+        self.lag = EventLoopLag(clock, told.tick, lambda tick: self.border.tick(tick))
         self.membership = Membership(source.list, self.border, link, clock, self._decide, about.name)
         self.boxes, self.by_runner = self.membership.boxes, self.membership.by_runner
         self.models: dict[str, Known] = {}  # the last used last
@@ -69,16 +75,8 @@
         self.held: dict[Task, Held] = {}
         self.bytes = 0
         self.list = source.list
-        self.counts: Counter[tuple[str, str]] = Counter()
         self.closest: int | None = None  # least time left at a final answer, ns
-        self.worst_lag = 0
         self._out: dict[HandOff, Out] = {}
-        self._later: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()
-        self._busy = False  # the module is deciding, or what waits for that is being done
-        self._sooner = anyio.Event()
-        self._until = 0
-        self._faulty = anyio.Event()
-        self.faults = 0
         self.listed = self.membership.listed
         self.about_planner: Callable[[], dict[str, Any]] | None = None
         self.about_door: Callable[[], dict[str, Any]] | None = None
@@ -86,7 +84,7 @@
 
     def use_border(self, border: Border) -> None:
         """Puts another border in the place of its own, such as one that measures; before `run`."""
-        self.border = self.membership.border = border
+        self.border = self.membership.border = self.loop.border = border
 
     # -- life
 
@@ -94,109 +92,28 @@
         """Until cancelled."""
         async with anyio.create_task_group() as group:
             self.border.begin()
-            group.start_soon(self._timers)
-            group.start_soon(self._pulse)
+            group.start_soon(self.loop.run)
+            group.start_soon(self.lag.run)
             group.start_soon(self._guard)
             group.start_soon(self.link.run)
             group.start_soon(self.source.run, self)
 
-    async def _timers(self) -> None:
-        while True:
-            due = self.border.due()
-            self._until = due if due is not None else 1 << 62
-            left = (self._until - self.clock()) / 1e9
-            if left > 0:
-                with within(min(left, 3600)):
-                    await self._sooner.wait()
-            if self._sooner.is_set():
-                self._sooner = anyio.Event()
-            self._rearm()
-            await anyio.sleep(0)
-
     def fault(self, error: Exception) -> None:
-        """An exception where none should be, of the module or ours: it is told, and costs no other task
-        anything. The task that it left without a wait is ended by `_guard`."""
-        self.log.error("a fault of ours", exc_info=error)
-        self.counts["fault", type(error).__name__] += 1
-        self.faults += 1
-        self._faulty.set()
+        """An exception where none should be. The request that it left without a wait is ended by `_guard`."""
+        self.loop.fault(error)
 
     async def _guard(self) -> None:
         """After a fault: no task is held past its time, whatever became of its generator."""
-        await self._faulty.wait()
+        await self.loop.faulty.wait()
         while True:
             await anyio.sleep(0.005)
-            late = self.clock() + self.tick
+            late = self.clock() + self.lag.tick
             for task, held in list(self.held.items()):
                 if late > task.give_up and held.final is None:
                     held.why = "a fault of the dispatcher"
                     held.end(Final.TURNED_BACK if self.border.may_turn_back(task) else Final.SCRAPPED)
             self._rearm()
 
-    def later(self, work: Callable[..., None], *args: Any) -> None:
-        """Does it once the module has decided, or at once if it is not deciding. In the middle of a decision
-        the module may not be called back: its generator is running."""
-        self._later.append((work, args))
-        if not self._busy:
-            self._rearm()
-
-    def _rearm(self) -> None:
-        """After each call of the border: what had to wait for its end, and what is due. That is done here and
-        now: a busy loop comes to its timers late, and behind all that is ready already."""
-        if self._busy:
-            return
-        self._busy = True
-        try:
-            while True:
-                if self._later:
-                    work, args = self._later.popleft()
-                    work(*args)
-                    continue
-                due = self.border.due()
-                if due is None or due > self.clock():
-                    break
-                self.border.advance()
-        except Exception as error:
-            self.fault(error)
-            if self._later:  # one that fails costs no other its turn
-                self._sooner.set()
-        finally:
-            self._busy = False
-        due = self.border.due()
-        if due is not None and due < self._until:
-            self._until = due
-            self._sooner.set()
-
-    def _decide(self, call: Callable[..., Any], *args: Any) -> Any:
-        """One call of the border, whose decisions come through `_outlet` meanwhile; None after a fault."""
-        nested, self._busy = self._busy, True
-        try:
-            return call(*args)
-        except Exception as error:
-            self.fault(error)
-            return None
-        finally:
-            self._busy = nested
-            if not nested:
-                self._rearm()
-
-    async def _pulse(self) -> None:
-        """The tick is what the event loop achieves: the worst of the last second, halved as it fades."""
-        least, worst, every = self.tick, 0, 10_000_000
-        count = 0
-        while True:
-            before = self.clock()
-            await anyio.sleep(every / 1e9)
-            lag = self.clock() - before - every
-            worst = max(worst, lag)
-            self.worst_lag = max(self.worst_lag, lag)
-            count += 1
-            if lag > self.tick or count >= 50:
-                self.tick = min(max(least, worst), 100_000_000)
-                self.border.tick(self.tick)
-                if count >= 50:
-                    worst, count = worst // 2, 0
-
     # -- membership
 
     def news(self, told: list[Line], whole: bool) -> None:
@@ -235,7 +152,7 @@
             known.open += 1
 
         customer = self.customers.get(wanted.customer or "")
-        offering, faults = self.offerings[wanted.offering], self.faults
+        offering, faults = self.offerings[wanted.offering], self.loop.faults
         again = wanted.again if again is None else again
         self._decide(
             self.border.take,
@@ -248,7 +165,7 @@
             note,
             wanted.mark,
         )
-        if self.faults > faults and (held.task is None or not held.task.hand_offs):
+        if self.loop.faults > faults and (held.task is None or not held.task.hand_offs):
             held.why = "a fault of the dispatcher"  # nothing was sent: no need to wait for `_guard`
             held.end(Final.TURNED_BACK)
         return held
@@ -454,8 +371,8 @@
             "held": len(self.held),
             "held_bytes": self.bytes,
             "models": len(self.models),
-            "tick_ms": self.tick / 1e6,
-            "worst_lag_ms": self.worst_lag / 1e6,
+            "tick_ms": self.lag.tick / 1e6,
+            "worst_lag_ms": self.lag.worst / 1e6,
             "closest_answer_ms": None if self.closest is None else self.closest / 1e6,
             "counts": {f"{kind}/{name}": n for (kind, name), n in sorted(self.counts.items())},
             "runners": self.membership.report(),
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -152,7 +152,7 @@
         assert told[0][0] == 504
         assert f.dispatcher.closest is not None
         assert f.dispatcher.closest > 0
-        assert f.dispatcher.tick > 20_000_000
+        assert f.dispatcher.lag.tick > 20_000_000
 
 
 async def test_a_clock_that_steps_back_stands_still() -> None:
