--- a/martenlead/edge/dispatcher.py
+++ b/martenlead/edge/dispatcher.py
@@ -143,7 +143,7 @@
         known = self.known(wanted.model, wanted.lanes, wanted.memory_mb)
         limit = self.hard[wanted.offering]
         left = limit if wanted.left is None else min(wanted.left, limit)
-        left -= self.margin
+        give_up = arrived + left - self.margin
 
         def note(task: Task) -> None:
             held.task = task
@@ -155,15 +155,7 @@
         offering, faults = self.offerings[wanted.offering], self.loop.faults
         again = wanted.again if again is None else again
         self._decide(
-            self.border.take,
-            known.model,
-            offering,
-            customer,
-            arrived + left,
-            again,
-            wanted.cost,
-            note,
-            wanted.mark,
+            self.border.take, known.model, offering, customer, give_up, again, wanted.cost, note, wanted.mark
         )
         if self.loop.faults > faults and (held.task is None or not held.task.hand_offs):
             held.why = "a fault of the dispatcher"  # nothing was sent: no need to wait for `_guard`
--- a/martenlead/edge/door.py
+++ b/martenlead/edge/door.py
@@ -98,35 +98,11 @@
         return await self._through(self.gate, asked, event, now, Content(headers, body))
 
     async def _through(self, gate: Gate, asked: Wanted, event: Event, now: int, content: Content) -> Reply:
-        """A task by the gate: at once, after a wait, or not at all."""
+        """A request by the gate: at once, after a wait, or not at all."""
         dispatcher = self.dispatcher
-        limit = dispatcher.hard[asked.offering]
-        ticket = gate.arrive(
-            asked.model,
-            asked.offering,
-            asked.customer or "",
-            event.mark[0],
-            hash(event.mark),
-            asked.cost,
-            len(content.body),
-            now + dispatcher.offerings[asked.offering].soft_limit,
-            now + (limit if asked.left is None else min(asked.left, limit)) - dispatcher.margin,
-            asked.again,
-            (asked.lanes, asked.memory_mb),
-            self._brought(event),
-        )
+        ticket = self._arrive(gate, asked, event, now, len(content.body))
         if ticket.state is State.WAITS:
-            changed = self._changed[ticket] = anyio.Event()
-            try:
-                with anyio.move_on_after(max(0, ticket.until - dispatcher.clock()) / 1e9):
-                    await changed.wait()
-                gate.expire(ticket)
-            except anyio.get_cancelled_exc_class():
-                # its client left: as it waited, or just as it was let in, and then the next is due
-                self._wake(gate.ended(ticket, End.OTHER))
-                raise
-            finally:
-                del self._changed[ticket]
+            await self._wait(gate, ticket)
         if ticket.state is State.BACK:
             dispatcher.counts["final", Final.TURNED_BACK.value] += 1
             return self._appoint(at_the_door(ticket.why, ticket.wait), event, ticket)
@@ -143,6 +119,39 @@
             return self._appoint(self.answer(held), event, ticket)
         return self.answer(held)
 
+    def _arrive(self, gate: Gate, asked: Wanted, event: Event, now: int, size: int) -> Ticket:
+        """Tells the gate of a request of `size` bytes that came at `now`, ns."""
+        dispatcher = self.dispatcher
+        limit = dispatcher.hard[asked.offering]
+        return gate.arrive(
+            asked.model,
+            asked.offering,
+            asked.customer or "",
+            event.mark[0],
+            hash(event.mark),
+            asked.cost,
+            size,
+            now + dispatcher.offerings[asked.offering].soft_limit,
+            now + (limit if asked.left is None else min(asked.left, limit)) - dispatcher.margin,
+            asked.again,
+            (asked.lanes, asked.memory_mb),
+            self._brought(event),
+        )
+
+    async def _wait(self, gate: Gate, ticket: Ticket) -> None:
+        """Until the gate has decided on a request that waits there, or its time is over."""
+        changed = self._changed[ticket] = anyio.Event()
+        try:
+            with anyio.move_on_after(max(0, ticket.until - self.dispatcher.clock()) / 1e9):
+                await changed.wait()
+            gate.expire(ticket)
+        except anyio.get_cancelled_exc_class():
+            # its client left: as it waited, or just as it was let in, and then the next is due
+            self._wake(gate.ended(ticket, End.OTHER))
+            raise
+        finally:
+            del self._changed[ticket]
+
     def _brought(self, event: Event) -> tuple[int, int] | None:
         """The appointment that a task brings from another door, by this door's clock."""
         text = event.text("appointment") if self.secret is not None else None
--- a/martenlead/edge/serve.py
+++ b/martenlead/edge/serve.py
@@ -20,6 +20,8 @@
 
 Beside = Callable[[Dispatcher], Coroutine[Any, Any, None]]
 
+IDLE_CHECK_SECONDS = 0.002  # between two looks at whether all held requests have ended
+
 
 async def serve(
     edge: Edge,
@@ -41,11 +43,9 @@
         group.start_soon(dispatcher.run)
         for one in beside:
             group.start_soon(one, dispatcher)
-        admin = None
         if edge.admin:
-            admin = Admin(dispatcher, door)
             admin_listener, admin_port = await listen(edge.admin.host, edge.admin.port)
-            group.start_soon(admin.server.serve, admin_listener)
+            group.start_soon(Admin(dispatcher, door).server.serve, admin_listener)
             log.info("admin", port=admin_port)
         await anyio.sleep(0)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
@@ -59,15 +59,22 @@
                 log.info("stops", held=len(dispatcher.held))
                 door.drain()
                 doors.start_soon(_finish, dispatcher, signals, edge.limits.drain_ms / 1000)
-                while dispatcher.held or door.server.connections:
-                    await anyio.sleep(0.002)
+                await _until_idle(dispatcher, door)
                 doors.cancel_scope.cancel()
-        log.info(
-            "stopped", closest_answer_ms=None if dispatcher.closest is None else dispatcher.closest / 1e6
-        )
+        log.info("stopped", closest_answer_ms=_closest_ms(dispatcher))
         group.cancel_scope.cancel()
 
 
+def _closest_ms(dispatcher: Dispatcher) -> float | None:
+    """The least time that was left at a final response."""
+    return None if dispatcher.closest is None else dispatcher.closest / 1e6
+
+
+async def _until_idle(dispatcher: Dispatcher, door: Door) -> None:
+    while dispatcher.held or door.server.connections:
+        await anyio.sleep(IDLE_CHECK_SECONDS)
+
+
 async def _finish(dispatcher: Dispatcher, signals: object, within: float) -> None:
     """Hastens the end at the second signal, or when the time for a slow one is over."""
     with anyio.move_on_after(within):
