Load requests, the table of functions and the log of decisions leave the dispatcher

The dispatcher still sent load requests and questions about earlier replicas, kept the bounded table of functions and wrote the log of decisions. These are edge/loads.py, edge/functions.py and edge/decision_log.py now; the parts reach the border through the decision loop, so that it is kept in one place. Inside the dispatcher stay the held requests, their attempts and what a planner decided.

--- a/martenlead/edge/dispatcher.py
+++ b/martenlead/edge/dispatcher.py
@@ -1,10 +1,10 @@
-"""Tells the module what happens and carries out what it decides. It decides nothing itself.
+"""Tells the policy what happens and carries out what it decides. It decides nothing itself.
 
-A task's way: `take` makes it known to the module, whose generator asks for hand-offs through `_outlet`; the
-link carries each to its runner and reports its end by `ended`, which goes back as an `Answer`; the final
-answer is set on `Held`, whose `done` tells the door. Here stand the objects that ids mean, the
-held tasks and the border; what is spoken with clients, runners and the roster is known to the doors, links
-and sources alone.
+A request's way: `take` makes it known to the policy, whose generator asks for attempts through `_outlet`; the
+link carries each to its worker and reports its end by `ended`, which goes back as an `Answer`; the final
+response is set on `Held`, whose `done` tells the listener. Here stand the held requests and their attempts;
+membership, functions, load requests and the decision loop are parts that the dispatcher holds. What is spoken
+with clients, workers and discovery is known to the listeners, links and sources alone.
 """
 
 from __future__ import annotations
@@ -16,22 +16,23 @@
 from typing import Any
 
 import anyio
-import structlog
 
 from martenlead.edge.border import Border, Tape
 from martenlead.edge.client import ClientConnection
+from martenlead.edge.decision_log import DecisionLog
 from martenlead.edge.decision_loop import DecisionLoop
 from martenlead.edge.event_loop_lag import EventLoopLag
+from martenlead.edge.functions import Functions
 from martenlead.edge.interfaces import Link, Source
+from martenlead.edge.loads import Loads
 from martenlead.edge.membership import Membership
-from martenlead.edge.records import About, Box, Final, Held, Known, Out, Wanted
+from martenlead.edge.records import About, Box, Final, Held, Out, Wanted
 from martenlead.interface import (
     Action,
     Answer,
     AskRoster,
     CallOff,
     HandOff,
-    ModelFacts,
     Order,
     Result,
     Scrap,
@@ -62,21 +63,25 @@
         names = list(self.offerings), self.customers
         self.border = Border(told, about.seed, clock, self._outlet, tape, names)
         self.chance = Random(about.seed)
-        self.log = structlog.get_logger().bind(edge=about.name)
         self.counts: Counter[tuple[str, str]] = Counter()
         self.loop = DecisionLoop(self.border, clock, self.counts, about.name)
-        # bound here: a call of them passes no further layer
+        # bound here, as `known` is below: a call of them passes no further layer
         self.later, self._decide, self._rearm = self.loop.later, self.loop.decide, self.loop.run_due
         self.lag = EventLoopLag(clock, told.tick, lambda tick: self.border.tick(tick))
-        self.membership = Membership(source.list, self.border, link, clock, self._decide, about.name)
+        self.membership = Membership(source.list, self.loop, link, about.name)
         self.boxes, self.by_runner = self.membership.boxes, self.membership.by_runner
-        self.models: dict[str, Known] = {}  # the last used last
-        self.by_model: dict[Any, Known] = {}
+        self.functions = Functions(self.loop, about.models)
+        self.models, self.by_model = self.functions.by_name, self.functions.by_model
+        self.known = self.functions.known
         self.held: dict[Task, Held] = {}
         self.bytes = 0
         self.list = source.list
         self.closest: int | None = None  # least time left at a final answer, ns
         self._out: dict[HandOff, Out] = {}
+        self._decision_log: DecisionLog | None = None
+        if about.decisions:
+            self._decision_log = DecisionLog(about.name, self.by_runner, self.by_model, self.held)
+        self.loads = Loads(link, self.loop, self.membership, self.functions, self._decision_log)
         self.listed = self.membership.listed
         self.about_planner: Callable[[], dict[str, Any]] | None = None
         self.about_door: Callable[[], dict[str, Any]] | None = None
@@ -84,7 +89,7 @@
 
     def use_border(self, border: Border) -> None:
         """Puts another border in the place of its own, such as one that measures; before `run`."""
-        self.border = self.membership.border = self.loop.border = border
+        self.border = self.loop.border = border
 
     # -- life
 
@@ -162,21 +167,6 @@
             held.end(Final.TURNED_BACK)
         return held
 
-    def known(self, name: str, lanes: int, memory_mb: float) -> Known:
-        """The model of that name. A new one takes the place of the one that was longest without a task."""
-        known = self.models.pop(name, None)
-        if known is None:
-            mark = int.from_bytes(name.encode()[:64], "big")
-            model = self.border.model(ModelFacts(mark, lanes, memory_mb), name)
-            known = Known(name, model, lanes, memory_mb)
-            self.by_model[model] = known
-            if len(self.models) >= self.about.models:
-                old = next((k for k in self.models.values() if not k.open), None)
-                if old is not None:
-                    del self.models[old.name], self.by_model[old.model]
-        self.models[name] = known
-        return known
-
     async def settle(self, held: Held) -> None:
         """Waits for the final answer. Cancelled, the client has left."""
         try:
@@ -231,26 +221,13 @@
                 if found is not None:
                     self.link.call_off(found)
             case Order():
-                self._order(action)
+                self.loads.send(action)
             case AskRoster() | Wait():
                 pass  # the roster is pushed; the engine keeps the waits
-        if self.about.decisions:
-            self._tell(action)
-
-    def _tell(self, action: Action) -> None:
-        about: dict[str, Any] = {"what": type(action).__name__}
-        runner = getattr(action, "runner", None)
-        if runner in self.by_runner:
-            about["runner"] = self.by_runner[runner].line.id
-        hand_off = getattr(action, "hand_off", None)
-        task = getattr(action, "task", None) or (hand_off.task if hand_off else None)
-        if task in self.held:
-            about["task"] = self.held[task].wanted.id
-        if isinstance(action, Order) and action.model in self.by_model:
-            about |= {"model": self.by_model[action.model].name, "copies": action.copies}
-        self.log.info("decides", **about)
-
-    # -- ends of hand-offs and orders
+        if self._decision_log is not None:
+            self._decision_log.decided(action)
+
+    # -- ends of attempts
 
     def ended(self, out: Out, told: Heard) -> None:
         """From the link: the one end of a hand-off."""
@@ -277,38 +254,8 @@
         lag = max(0, now - hand_off.sent)
         self._decide(self.border.answered, Answer(hand_off, told.result, final, told.warmth, lag))
         self.membership.forget(box)
-        if self.about.decisions:
-            self.log.info(
-                "hears", task=held.wanted.id, runner=box.line.id, result=told.result.value, why=told.why
-            )
-
-    def _order(self, order: Order) -> None:
-        box, known = self.by_runner.get(order.runner), self.by_model.get(order.model)
-        if box is None or known is None:  # of a model or a runner that was forgotten since
-            self.later(self._decide, self.border.ordered, order, Result.NOT_SENT, 0)
-            return
-        box.out += 1
-
-        def told(heard: Heard) -> None:
-            self.later(self._ordered, order, box, heard)
-
-        self.link.order(box, known, order.copies, told)
-
-    def _ordered(self, order: Order, box: Box, heard: Heard) -> None:
-        box.out -= 1
-        if heard.drains:
-            self.drains(box)
-        if heard.failure:
-            self.counts["load failed", heard.failure] += 1
-        self.counts["order", heard.result.value] += 1
-        self._decide(self.border.ordered, order, heard.result, heard.copies)
-        self.membership.forget(box)
-        if self.about.decisions:
-            known = self.by_model.get(order.model)
-            name = known.name if known is not None else ""
-            self.log.info(
-                "order ends", runner=box.line.id, model=name, result=heard.result.value, why=heard.why
-            )
+        if self._decision_log is not None:
+            self._decision_log.attempt_ended(out, told)
 
     # -- what a planner decided
 
@@ -332,24 +279,8 @@
         return given, refused
 
     def recall(self, copies: Iterable[tuple[str, str, int, float, float]]) -> None:
-        """Asks runners for copies that were held in a life before: runner, model, lanes, MB, ms since they
-        were used. An ask loads nothing and is not rationed."""
-        for name, model, lanes, memory_mb, age_ms in copies:
-            box = self.boxes.get(name)
-            if box is not None and box.line.id in self.list.lines and box.line.state == "up":
-                if len(self.models) >= self.about.models:
-                    return
-                self._ask(box, self.known(model, lanes, memory_mb), self.clock() - round(age_ms * 1e6))
-
-    def _ask(self, box: Box, known: Known, touched: int) -> None:
-        def answered(heard: Heard) -> None:
-            box.out -= 1
-            self.counts["ask", heard.result.value] += 1
-            self._decide(self.border.recalled, box.runner, known.model, heard.result, heard.copies, touched)
-            self.membership.forget(box)
-
-        box.out += 1
-        self.link.order(box, known, 0, lambda heard: self.later(answered, heard))
+        """Asks workers for replicas of an incarnation before, as `Loads.recall`."""
+        self.loads.recall(copies)
 
     # -- what operators see
 
--- a/martenlead/edge/membership.py
+++ b/martenlead/edge/membership.py
@@ -6,14 +6,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Any
 
 import anyio
 import msgspec
 import structlog
 
-from martenlead.edge.border import Border
+from martenlead.edge.decision_loop import DecisionLoop
 from martenlead.edge.interfaces import Link
 from martenlead.edge.records import Box
 from martenlead.interface import RunnerFacts, State
@@ -28,21 +27,17 @@
 
     def __init__(
         self,
-        lines: List,
-        border: Border,
+        members: List,
+        loop: DecisionLoop,
         link: Link,
-        clock: Callable[[], int],
-        decide: Callable[..., Any],
         name: str,
     ) -> None:
-        """`lines` is the source's list; `clock` gives ns; `decide` makes one call of the border, whose
-        decisions are carried out meanwhile; `name` is the dispatcher's, for the log."""
-        self.lines, self.border, self.link, self.clock = lines, border, link, clock
+        """`members` is the source's list; `name` is the dispatcher's, for the log."""
+        self.members, self.loop, self.link = members, loop, link
         self.boxes: dict[str, Box] = {}
         self.by_runner: dict[Any, Box] = {}
         self.listed = anyio.Event()  # set once a whole list has come
         self.log = structlog.get_logger().bind(edge=name)
-        self._decide = decide
 
     def news(self, told: list[Line], whole: bool) -> None:
         """What a source was told, of changes or of the whole list. Of a list that is sent again only what
@@ -65,18 +60,18 @@
                 box.line = line
             facts = self._facts(box, line)
             if box.runner is None:
-                box.runner = self.border.runner(facts, line.id)
+                box.runner = self.loop.border.runner(facts, line.id)
                 self.by_runner[box.runner] = box
             news.append((box.runner, facts))
             if not first:
-                self.log.info("roster", runner=line.id, state=facts.state.value, version=self.lines.version)
-        self._decide(self.border.roster, news, whole and first)
+                self.log.info("roster", runner=line.id, state=facts.state.value, version=self.members.version)
+        self.loop.decide(self.loop.border.roster, news, whole and first)
         for box in gone:
             box.gone = True
             self.link.leave(box.way)
             self.forget(box)
         if whole:
-            self.log.info("whole roster", runners=len(told), news=len(news), version=self.lines.version)
+            self.log.info("whole roster", runners=len(told), news=len(news), version=self.members.version)
             self.listed.set()
 
     def _is_known(self, line: Line) -> bool:
@@ -100,7 +95,7 @@
 
     def _facts(self, box: Box, line: Line) -> RunnerFacts:
         if not box.runner or line.start != box.started:
-            box.since = 0 if line.age_ms is None else max(1, self.clock() - round(line.age_ms * 1e6))
+            box.since = 0 if line.age_ms is None else max(1, self.loop.clock() - round(line.age_ms * 1e6))
             box.started = line.start
         state = STATES[line.state]
         if state is State.UP and box.drains and box.drains == line.start:
@@ -119,14 +114,14 @@
         if box.drains == box.line.start and box.drains:
             return
         box.drains = box.line.start
-        facts = box.facts(State.DRAINING, box.since, box.line.weight or box.line.memory_mb or 1.0)
-        if box.line.id in self.lines.lines:
-            self._decide(self.border.roster, [(box.runner, facts)], False)
+        facts = box.facts(State.DRAINING, box.since, box.line.weight or box.line.memory_mb or UNKNOWN_WEIGHT)
+        if box.line.id in self.members.lines:
+            self.loop.decide(self.loop.border.roster, [(box.runner, facts)], False)
             self.log.info("drains by its own word", runner=box.line.id)
 
     def report(self) -> list[dict[str, Any]]:
         """What operators see of each worker."""
-        now = self.clock()
+        now = self.loop.clock()
         return [
             {
                 "id": box.line.id,
