--- a/martenlead/edge/dispatcher.py
+++ b/martenlead/edge/dispatcher.py
@@ -43,9 +43,11 @@
 from martenlead.runnerlink.heard import Heard
 from martenlead.runnerlink.roster import Line
 
+FAULT_CHECK_SECONDS = 0.005  # after a fault, between two looks for requests past their time
+
 
 class Dispatcher:
-    """One `Engine` and what is around it. `run` holds its task group; all else is called inside it."""
+    """One policy engine and what is around it. `run` holds its task group; all else is called inside it."""
 
     def __init__(
         self,
@@ -108,10 +110,10 @@
         self.loop.fault(error)
 
     async def _guard(self) -> None:
-        """After a fault: no task is held past its time, whatever became of its generator."""
+        """After a fault: no request is held past its time, whatever became of its generator."""
         await self.loop.faulty.wait()
         while True:
-            await anyio.sleep(0.005)
+            await anyio.sleep(FAULT_CHECK_SECONDS)
             late = self.clock() + self.lag.tick
             for task, held in list(self.held.items()):
                 if late > task.give_up and held.final is None:
@@ -129,7 +131,7 @@
         """A worker's own word that it drains."""
         self.membership.drains(box)
 
-    # -- tasks
+    # -- requests
 
     def take(
         self,
@@ -141,9 +143,9 @@
         done: Callable[[Held], None] | None = None,
         client: ClientConnection | None = None,
     ) -> Held:
-        """Makes a task known to the module. The door has checked the names and the limits, and calls `over`
-        once the final answer, which `done` is told of, is on its way. `again` goes before what `wanted`
-        says."""
+        """Makes a request known to the policy. The listener has checked the names and the limits, and calls
+        `over` once the final answer, which `done` is told of, is on its way. `again` goes before what
+        `wanted` says."""
         held = Held(wanted, arrived, content, size, done, client)
         known = self.known(wanted.model, wanted.lanes, wanted.memory_mb)
         limit = self.hard[wanted.offering]
@@ -179,7 +181,7 @@
             self.over(held)
 
     def hasten(self) -> None:
-        """Every held task gets its answer now."""
+        """Every held request gets its answer now."""
         for held in list(self.held.values()):
             if held.task is not None and held.final is None:
                 back = self.border.may_turn_back(held.task)
@@ -187,7 +189,7 @@
                 held.end(Final.TURNED_BACK if back else Final.SCRAPPED)
 
     def over(self, held: Held) -> None:
-        """The final answer is on its way, or nobody waits for it: what is still out is called off."""
+        """The final answer is on its way, or nobody waits for it: what is still out is cancelled."""
         task = held.task
         if task is None or self.held.pop(task, None) is None:
             return
@@ -203,7 +205,7 @@
         self._decide(self.border.closed, task, held.final.value if held.final else "")
 
     def _outlet(self, action: Action) -> None:
-        """Carries out one decision. Nothing here calls the module back: it is in the middle of deciding."""
+        """Carries out one decision. Nothing here calls the policy back: it is in the middle of deciding."""
         match action:
             case HandOff(task=task, runner=runner):
                 box = self.by_runner[runner]
@@ -230,7 +232,7 @@
     # -- ends of attempts
 
     def ended(self, out: Out, told: Heard) -> None:
-        """From the link: the one end of a hand-off."""
+        """From the link: the one end of an attempt."""
         self.later(self._ended, out, told, self.clock())
 
     def _ended(self, out: Out, told: Heard, now: int) -> None:
@@ -262,8 +264,8 @@
     def decided(
         self, orders: Iterable[tuple[int, Any, Any]], held: Iterable[tuple[Any, Any, bool]]
     ) -> tuple[int, int]:
-        """Orders by the planner's number, runner and model, and which copies are held; how many orders were
-        given, and how many there was no room for."""
+        """Load requests by the planner's number, worker and function, and which replicas are held. Returns
+        how many load requests were sent, and how many the budget had no room for."""
         given = refused = 0
         try:
             for runner, model, on in held:
--- a/tests/test_decision_log.py
+++ b/tests/test_decision_log.py
@@ -8,7 +8,7 @@
 from structlog.testing import capture_logs
 
 from martenlead.interface import Order
-from tests.fleet import fleet, satisfied, until
+from support.fleet import fleet, satisfied, until
 
 pytestmark = pytest.mark.anyio
 
