Membership: of more than 64 workers in one piece of news one log line tells how many

Cause: a zone of 770 workers lost or returned is one step of the event loop, and each worker had a log line in it; of a whole list those were 60% of the step in a profile. Change: news of up to 64 workers keep a line each, more get one line with their number. The rest is spread over the policy's index, the list and the records; slices are what is missing.

--- a/martenlead/edge/membership.py
+++ b/martenlead/edge/membership.py
@@ -19,6 +19,7 @@
 from martenlead.runnerlink.roster import Line, List
 
 STATES = {"up": State.UP, "draining": State.DRAINING, "gone": State.GONE}
+LOGGED_EACH = 64  # workers in one piece of news that get a log line each; of more, one line tells how many
 UNKNOWN_WEIGHT = 1.0  # of a worker that tells neither weight nor memory
 
 
@@ -43,6 +44,7 @@
         """What a source was told, of changes or of the whole list. Of a list that is sent again only what
         differs reaches the policy: all of a long one would hold up the event loop."""
         first = not self.boxes
+        logged = not first and len(told) <= LOGGED_EACH
         news: list[tuple[Any, RunnerFacts]] = []
         gone: list[Box] = []
         if whole and not first:
@@ -63,15 +65,17 @@
                 box.runner = self.loop.border.runner(facts, line.id)
                 self.by_runner[box.runner] = box
             news.append((box.runner, facts))
-            if not first:
+            if logged:
                 self.log.info("roster", runner=line.id, state=facts.state.value, version=self.members.version)
         self.loop.decide(self.loop.border.roster, news, whole and first)
         for box in gone:
             box.gone = True
             self.link.leave(box.way)
             self.forget(box)
+        if whole or not logged:
+            kind = "whole roster" if whole else "roster"
+            self.log.info(kind, runners=len(told), news=len(news), version=self.members.version)
         if whole:
-            self.log.info("whole roster", runners=len(told), news=len(news), version=self.members.version)
             self.listed.set()
 
     def _is_known(self, line: Line) -> bool:
