--- a/martenlead/capture/events.py
+++ b/martenlead/capture/events.py
@@ -278,6 +278,9 @@
 
 
 def settings_of(told: dict[str, Any]) -> Settings:
+    """A field that this version does not have is passed over; one that the writer did not have is absent."""
+    known = {field.name for field in fields(Settings)}
+    told = {name: value for name, value in told.items() if name in known}
     offerings = [Offering(soft, Effect(kind), Group(group), w) for soft, kind, group, w in told["offerings"]]
     return Settings(**{**told, "offerings": offerings, "quota": float(told["quota"])})
 
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -31,6 +31,7 @@
 from martenlead.capture.tape import Tape
 from martenlead.cli.main import commands
 from support.fleet import after, closes, draining, error, fleet, full, satisfied, silent
+from tests.play import SETTINGS
 
 pytestmark = pytest.mark.anyio
 CAPTURES = Path(__file__).parent / "captures"
@@ -480,3 +481,12 @@
     for entry in index:
         tasks = {n for event in frames[entry.at].events() if (n := ev.task_of(event)) is not None}
         assert tasks == set(entry.tasks)
+
+
+def test_settings_of_another_version_are_read_as_far_as_they_are_known() -> None:
+    """A planner and its edges are replaced one after the other."""
+    told = ev.pack_settings(SETTINGS)
+    newer = {**told, "a_setting_of_tomorrow": 1}
+    older = {name: value for name, value in told.items() if name != "functions"}
+    assert ev.settings_of(newer).keep == SETTINGS.keep
+    assert ev.settings_of(older).functions == SETTINGS.functions
