--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -54,6 +54,14 @@
     return command
 
 
+def size_options(command: Any) -> Any:
+    """Options that give the size of a fleet."""
+    for name in ("zones", "functions", "instances_per_worker", "workers", "dispatchers"):
+        flag = "--" + name.replace("_", "-")
+        command = click.option(flag, type=COUNT, default=getattr(DEFAULT, name), show_default=True)(command)
+    return command
+
+
 def assumptions(zipf_exponent: float, zipf_offset: float, keep_alive_seconds: float) -> Assumptions:
     return Assumptions(zipf_exponent=zipf_exponent, zipf_offset=zipf_offset, keep_alive=keep_alive_seconds)
 
@@ -64,12 +72,8 @@
 
 
 @main.command()
-@click.option("--dispatchers", type=COUNT, default=DEFAULT.dispatchers, show_default=True)
-@click.option("--workers", type=COUNT, default=DEFAULT.workers, show_default=True)
-@click.option("--instances-per-worker", type=COUNT, default=DEFAULT.instances_per_worker, show_default=True)
-@click.option("--functions", type=COUNT, default=DEFAULT.functions, show_default=True)
+@size_options
 @click.option("--calls", type=NUMBER, default=111, show_default=True, help="A second, at this dispatcher.")
-@click.option("--zones", type=COUNT, default=DEFAULT.zones, show_default=True)
 @click.option("--seconds", type=NUMBER, default=30, show_default=True, help="Of virtual time.")
 @click.option("--repeats", type=COUNT, default=1, show_default=True, help="The lowest times count.")
 @click.option("--all-functions", is_flag=True, help="Call each function once in the end, and size memory.")
@@ -137,12 +141,8 @@
 
 
 @main.command(name="fleet")
-@click.option("--dispatchers", type=COUNT, default=DEFAULT.dispatchers, show_default=True)
-@click.option("--workers", type=COUNT, default=DEFAULT.workers, show_default=True)
-@click.option("--instances-per-worker", type=COUNT, default=DEFAULT.instances_per_worker, show_default=True)
-@click.option("--functions", type=COUNT, default=DEFAULT.functions, show_default=True)
+@size_options
 @click.option("--calls", type=NUMBER, default=50_000, show_default=True, help="A second, over all.")
-@click.option("--zones", type=COUNT, default=DEFAULT.zones, show_default=True)
 @click.option("--seconds", type=NUMBER, default=10, show_default=True, help="Of virtual time, measured.")
 @click.option("--warm-up-seconds", type=NUMBER, default=8, show_default=True, help="Of virtual time, before.")
 @common
