--- a/martenlead/brain.py
+++ b/martenlead/brain.py
@@ -40,6 +40,8 @@
 FADED = 0.01  # tasks of a model that its rate still counts: it is checked no more
 GROWTH = 0.4  # of the ration is for new copies: renewals need the rest, and the store its peace
 SPARE = 0.3  # of a runner's width is kept from repeated tasks and those over their customer's share
+FAILED = frozenset({io.Result.ERROR, io.Result.BROKEN})  # the runner's fault, or else the task's
+UNHEARD = frozenset({io.Result.UNREACHED, io.Result.BROKEN})
 BAD_TASK = 2  # runners where it ended in an error: it would at the others too
 APART = 20 * MS  # errors that come closer than that at a runner are one
 FAILING = 0.4  # of a runner's last answers for an offering: from there on it gets trials only
@@ -177,9 +179,8 @@
         self.models.pop(model, None)
 
     def roster(self, news: Iterable[tuple[Any, io.RunnerFacts]], whole: bool) -> None:
-        told: dict[Runner, None] = {}
+        told = dict(news := list(news))
         for runner, facts in news:
-            told[runner] = None
             if facts.since != runner.facts.since and runner.listed:
                 self.forget(runner)
             self.enlist(runner, facts)
@@ -250,8 +251,7 @@
             self.rate = (self.rate + rate) / 2 if self.rate else rate
             self.best = max(self.rate, FADING * self.best)
             self.weight = max(self.index.weight, FADING * self.weight)
-            self.satisfied = 0
-            asked, self.first_tries = self.first_tries * SECOND / self.span, 0
+            asked, self.first_tries, self.satisfied = self.first_tries * SECOND / self.span, 0, 0
             self.asked = (self.asked + asked) / 2 if self.asked else asked
             # one that carries far more than its part must not take itself for the mean of many
             peers = self.settings.quota / max(self.asked, 1e-9)
@@ -662,10 +662,10 @@
         runner.running -= hand_off.expected
         self.running -= hand_off.expected
         copy.out -= 1
-        if result in io.HEARD:
+        if result in (io.Result.SATISFIED, io.Result.ERROR, io.Result.FULL, io.Result.MISSING):
             self.alive(runner)
-        if result in (io.Result.SATISFIED, *io.FAILED) and answer.warmth is not io.Warmth.LOAD_FAILED:
-            self.judge(hand_off, result in io.FAILED)
+        if result in (io.Result.SATISFIED, *FAILED) and answer.warmth is not io.Warmth.LOAD_FAILED:
+            self.judge(hand_off, result in FAILED)
         if result is io.Result.SATISFIED:
             self.satisfied += 1
             runner.fulls = 0
@@ -694,9 +694,9 @@
         elif result is io.Result.FULL:
             self.widen(runner, 2 * task.offering.soft_limit, task.offering.soft_limit)
             runner.fulls += 1
-        elif result in io.UNHEARD or (result is io.Result.SILENT and runner.heard < hand_off.sent):
+        elif result in UNHEARD or (result is io.Result.SILENT and runner.heard < hand_off.sent):
             runner.silent, runner.waiting = runner.silent + 1, self.now
-            if model.home is runner and result in io.UNHEARD:
+            if model.home is runner and result in UNHEARD:
                 model.home = None
 
         if result is not io.Result.SATISFIED and not copy.out:
@@ -705,7 +705,7 @@
     def judge(self, hand_off: io.HandOff, failed: bool) -> None:
         """Whose fault an error is: of one that fails at a second runner too, the task's."""
         task, runner = hand_off.task, hand_off.runner
-        before = [h for h in task.hand_offs if h.result in io.FAILED and h is not hand_off]
+        before = [h for h in task.hand_offs if h.result in FAILED and h is not hand_off]
         part = runner.failed.get(task.offering, 0.0)
         if failed and not before and self.now < runner.failed_last + APART:
             return  # at once: a client that sends what nobody can use sends much of it
--- a/martenlead/interface.py
+++ b/martenlead/interface.py
@@ -48,9 +48,6 @@
 
 
 NEVER_RAN = frozenset({Result.FULL, Result.UNREACHED, Result.NOT_SENT, Result.MISSING})
-FAILED = frozenset({Result.ERROR, Result.BROKEN})  # the runner's fault, or else the task's
-HEARD = frozenset({Result.SATISFIED, Result.ERROR, Result.FULL, Result.MISSING})  # the runner's own word
-UNHEARD = frozenset({Result.UNREACHED, Result.BROKEN})  # the connection ended instead
 
 
 class Warmth(Enum):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -78,6 +78,17 @@
     check(play, "cold")
 
 
+def count_sent(play: Play) -> None:
+    """Forty tasks, of which the trace tells only how many were sent on."""
+    sent = 0
+    for ms in range(9200, 13_200, 100):
+        play.to(ms)
+        before = len(play.hand_offs)
+        play.task(f"t{ms}", patience=200)
+        sent += len(play.hand_offs) - before
+    play.lines = [f"{sent} of 40"]
+
+
 def test_what_a_cold_runner_gets_is_of_the_best_rate_seen() -> None:
     """In a release less is satisfied: of that, the new runners got next to nothing and stood idle."""
     play = Play(runners="a", keep=4_000_000_000)
@@ -87,13 +98,7 @@
         play.to(3000 + 50 * (n + 1))
         play.answer(io.Result.CALLED_OFF if n % 20 else io.Result.SATISFIED)
     play.list_one("a", since=9100)
-    sent = 0
-    for ms in range(9200, 13_200, 100):
-        play.to(ms)
-        before = len(play.hand_offs)
-        play.task(f"t{ms}", patience=200)
-        sent += len(play.hand_offs) - before
-    play.lines = [f"{sent} of 40"]
+    count_sent(play)
     check(play, "cold_best")
 
 
@@ -103,13 +108,7 @@
     play.served(60)
     play.served(6, every=1000)
     play.list_one("a", since=9100)
-    sent = 0
-    for ms in range(9200, 13_200, 100):
-        play.to(ms)
-        before = len(play.hand_offs)
-        play.task(f"t{ms}", patience=200)
-        sent += len(play.hand_offs) - before
-    play.lines = [f"{sent} of 40"]
+    count_sent(play)
     check(play, "cold_moved")
 
 
