Requests that were never sent are rejected after a stall, not failed

What callers saw: -32000 (502, 504 at the edge) for requests of which not a byte had left, after a stall of the event loop and at the end of a shutdown; a client may not repeat what is not idempotent then.

Cause: the attempt's timer and the policy's wait are both over after a stall, and input of any client lets the policy do what is due before the loop runs its timers. The policy sees an attempt without a result and has to take it for one that may have run. finish_all asked it in the same state.

Why the fix works: the link ends its overdue attempts before a wait of the policy ends, so the policy always sees the result; at the end and after a fault the link is asked whether a byte may have left. The edge's HTTP link had the same fault.

--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -122,6 +122,12 @@
         out.link_handle = sent
         self.attempts.append(sent)
 
+    def end_overdue_attempts(self) -> None:
+        """Nothing is late here: the simulation ends attempts in virtual time."""
+
+    def has_sent(self, out: InFlightAttempt) -> bool:
+        return True
+
     def cancel_attempt(self, out: InFlightAttempt) -> None:
         sent: SentAttempt | None = out.link_handle
         if sent is None or not sent.open:
--- a/martenlead/edge/decision_loop.py
+++ b/martenlead/edge/decision_loop.py
@@ -34,9 +34,11 @@
         clock: Callable[[], int],
         counts: Counter[tuple[str, str]],
         name: str,
+        end_overdue_attempts: Callable[[], None],
     ) -> None:
         """`clock` gives ns; `counts` takes faults; `name` is the dispatcher's, for the log."""
         self.policy_boundary, self.clock, self.counts = policy_boundary, clock, counts
+        self.end_overdue_attempts = end_overdue_attempts
         self.log = structlog.get_logger().bind(edge=name)
         self.fault_count = 0
         self.fault_recorded = anyio.Event()  # set at the first fault
@@ -69,7 +71,9 @@
         """Does what had to wait for the end of a decision, and what is due.
 
         It is called after each call of the policy boundary, and does the work before it returns: a
-        busy event loop runs its timers late, behind all else that is ready.
+        busy event loop runs its timers late, behind all else that is ready. For the same reason the
+        ends of overdue attempts are reported before a wait of the policy ends. Otherwise the policy
+        takes an attempt that was never sent for one that may have run.
         """
         if self._is_busy:
             return
@@ -83,7 +87,9 @@
                 due_ns = self.policy_boundary.next_due_ns()
                 if due_ns is None or due_ns > self.clock():
                     break
-                self.policy_boundary.advance()
+                self.end_overdue_attempts()
+                if not self._deferred:
+                    self.policy_boundary.advance()
         except Exception as error:
             self.record_fault(error)
             if self._deferred:  # work that fails does not keep the rest from being done
--- a/martenlead/edge/dispatcher.py
+++ b/martenlead/edge/dispatcher.py
@@ -110,7 +110,13 @@
             recorder,
             (list(self.request_classes), self.tenants),
         )
-        loop = DecisionLoop(self.policy_boundary, self.clock, self.counts, settings.name)
+        loop = DecisionLoop(
+            self.policy_boundary,
+            self.clock,
+            self.counts,
+            settings.name,
+            self.link.end_overdue_attempts,
+        )
         self.decision_loop = loop
         # bound here, so that a call passes no further layer
         self.defer, self._decide, self._run_due = loop.defer, loop.decide, loop.run_due
@@ -173,7 +179,13 @@
         self, request: PendingRequest, policy_request: Request, reason: str
     ) -> None:
         """Rejects a request that certainly did not run; fails one that may have."""
-        may_reject = self.policy_boundary.may_reject(policy_request)
+        in_flight = [self._in_flight.get(attempt) for attempt in policy_request.attempts]
+        unsent = [
+            attempt.policy_attempt
+            for attempt in in_flight
+            if attempt is not None and not self.link.has_sent(attempt)
+        ]
+        may_reject = self.policy_boundary.may_reject(policy_request, *unsent)
         request.reason = reason
         request.end(FinalOutcome.REJECTED if may_reject else FinalOutcome.FAILED)
 
--- a/martenlead/edge/http_upstream.py
+++ b/martenlead/edge/http_upstream.py
@@ -75,6 +75,7 @@
         self.dispatcher: Dispatcher
         self.group: TaskGroup
         self._cancelled: set[InFlightAttempt] = set()
+        self._unsent: set[InFlightAttempt] = set()  # no byte has left
 
     def attach(self, dispatcher: Dispatcher) -> None:
         """Sets the dispatcher that ends are reported to."""
@@ -100,6 +101,7 @@
     def send_attempt(self, attempt: InFlightAttempt) -> None:
         """Begins the exchange of an attempt in a task of its own."""
         attempt.link_handle = anyio.CancelScope()
+        self._unsent.add(attempt)
         self.group.start_soon(self._exchange, attempt)
 
     def cancel_attempt(self, attempt: InFlightAttempt) -> None:
@@ -107,6 +109,20 @@
         self._cancelled.add(attempt)
         attempt.link_handle.cancel()
 
+    def end_overdue_attempts(self) -> None:
+        """Ends what is due and unsent; the end of another attempt proves nothing more in time."""
+        now_ns = self.dispatcher.clock()
+        for attempt in list(self._unsent):
+            if now_ns >= attempt.policy_attempt.sent_ns + attempt.policy_attempt.timeout_ns:
+                self._unsent.discard(attempt)
+                attempt.link_handle.cancel()
+                outcome = self._classify(attempt, None, has_written=False)
+                self.dispatcher.attempt_ended(attempt, outcome)
+
+    def has_sent(self, attempt: InFlightAttempt) -> bool:
+        """Whether a byte of an attempt in flight may have left."""
+        return attempt not in self._unsent
+
     async def _exchange(self, attempt: InFlightAttempt) -> None:
         """Carries an attempt to its end, of which there is exactly one whatever the socket does."""
         policy_attempt, clock = attempt.policy_attempt, self.dispatcher.clock
@@ -118,9 +134,7 @@
         if not self._has_client(attempt):
             self._end_unsent(attempt, "its client has left")
             return
-        progress = SendProgress(
-            lambda: clock() <= policy_attempt.begin_by_ns and self._has_client(attempt)
-        )
+        progress = SendProgress(lambda: self._may_send(attempt))
         exchange: Exchange | None = None
         attempt.link_handle.deadline = anyio.current_time() + left_ns / NS_PER_SECOND
         try:
@@ -133,9 +147,19 @@
         finally:  # also where this task is cancelled: the policy is owed one end
             outcome = self._classify(attempt, exchange, has_written=progress.has_written)
             self._cancelled.discard(attempt)
+            self._unsent.discard(attempt)
             self.dispatcher.attempt_ended(attempt, outcome)
 
+    def _may_send(self, attempt: InFlightAttempt) -> bool:
+        """Whether an attempt may leave now; from then on it counts as sent."""
+        may_begin = self.dispatcher.clock() <= attempt.policy_attempt.begin_by_ns
+        if attempt not in self._unsent or not may_begin or not self._has_client(attempt):
+            return False
+        self._unsent.discard(attempt)
+        return True
+
     def _end_unsent(self, attempt: InFlightAttempt, reason: str) -> None:
+        self._unsent.discard(attempt)
         self.dispatcher.attempt_ended(attempt, UpstreamOutcome(Result.NOT_SENT, reason=reason))
 
     def _classify(
--- a/martenlead/edge/interfaces.py
+++ b/martenlead/edge/interfaces.py
@@ -78,6 +78,12 @@
     def cancel_attempt(self, attempt: InFlightAttempt) -> None:
         """Cancels an attempt. It still has its one end, possibly a response that was on its way."""
 
+    def end_overdue_attempts(self) -> None:
+        """Reports the ends of attempts whose time is over, as far as timers are late to do it."""
+
+    def has_sent(self, attempt: InFlightAttempt) -> bool:
+        """Whether a byte of an attempt in flight may have left."""
+
 
 class MembershipSource(Protocol[DispatcherT_contra]):
     """Where membership snapshots and deltas come from."""
--- a/martenlead/edge/policy_boundary.py
+++ b/martenlead/edge/policy_boundary.py
@@ -17,6 +17,7 @@
 from martenlead.policy.state import Function, Worker
 from martenlead.policy.types import (
     Action,
+    Attempt,
     AttemptResult,
     EarlierRun,
     FunctionFacts,
@@ -244,9 +245,12 @@
         """What `read` finds in the policy's state at this time; it may not change the state."""
         return read(self._policy, self._now())
 
-    def may_reject(self, request: Request) -> bool:
-        """Whether the client may repeat it: nothing ran, or the repeat would be dropped."""
-        return self._policy.repeats.may_reject(request)
+    def may_reject(self, request: Request, *unsent: Attempt) -> bool:
+        """Whether the client may repeat it: nothing ran, or the repeat would be dropped.
+
+        `unsent` are attempts without a result of which no byte has left.
+        """
+        return self._policy.repeats.may_reject(request, unsent)
 
     # -- timers
 
--- a/martenlead/node/call_timeouts.py
+++ b/martenlead/node/call_timeouts.py
@@ -43,15 +43,18 @@
             self._timer_due_ns = heap[0][0]
             delay_seconds = (self._timer_due_ns - self._clock()) / 1e9
             self._timer = asyncio.get_running_loop().call_later(
-                max(MIN_DELAY_SECONDS, delay_seconds), self.expire_due
+                max(MIN_DELAY_SECONDS, delay_seconds), self._handle_timer
             )
 
     def expire_due(self) -> None:
-        """Ends the calls that are due."""
-        self._timer = None
+        """Ends the calls that are due; also for a caller that comes before a late timer."""
         now_ns = self._clock()
         while self._heap and self._heap[0][0] <= now_ns:
             call = heappop(self._heap)[2]
             if call.is_outstanding():
                 self._expire(call)
+
+    def _handle_timer(self) -> None:
+        self._timer = None
+        self.expire_due()
         self.schedule()
--- a/martenlead/node/worker_client.py
+++ b/martenlead/node/worker_client.py
@@ -37,6 +37,7 @@
 NS_PER_MS = 1_000_000
 READ_BUDGET_NS = 5_000_000  # of one turn of the loop, for clients' input that attempts wait for
 READ_PAUSE_SECONDS = 0.001  # between two such turns, for all else
+TIME_OVER_UNREAD = "the time was over before its client was heard"
 
 
 class WorkerClient:
@@ -233,7 +234,7 @@
         now_ns, decision = self.clock(), attempt.policy_attempt
         reason = reason_not_to_send(attempt.request, attempt.worker, decision.begin_by_ns, now_ns)
         if not reason and now_ns >= decision.sent_ns + decision.timeout_ns:
-            return "the time was over before its client was heard"
+            return TIME_OVER_UNREAD
         return reason
 
     def _send_now(self, attempt: InFlightAttempt) -> None:
@@ -288,6 +289,21 @@
         result = Result.CANCELLED if may_have_run else Result.NOT_SENT
         call.on_outcome(UpstreamOutcome(result, reason="called off"))
 
+    def end_overdue_attempts(self) -> None:
+        """Ends what is due, where the loop is late to run the timer."""
+        now_ns = self.clock()
+        for attempt in list(self._deferred):
+            decision = attempt.policy_attempt
+            if now_ns >= decision.sent_ns + decision.timeout_ns:
+                del self._deferred[attempt]
+                self._refuse(attempt, TIME_OVER_UNREAD)
+        self._timeouts.expire_due()
+
+    def has_sent(self, attempt: InFlightAttempt) -> bool:
+        """Whether a byte of an attempt in flight may have left."""
+        call: OutstandingCall | None = attempt.link_handle
+        return attempt not in self._deferred and call is not None and call.encode_line is None
+
     # -- load requests
 
     def send_load_request(
--- a/martenlead/policy/repeats.py
+++ b/martenlead/policy/repeats.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from martenlead.policy.state import State, Worker
 from martenlead.policy.types import NEVER_RAN, Attempt, DeduplicationScope, Effect, Request
 
@@ -54,10 +56,13 @@
             - WINDOW_MARGIN_TICKS * self.state.settings.tick_ns
         )
 
-    def may_reject(self, request: Request) -> bool:
-        """Whether the client may retry: nothing ran, or the repeat is dropped wherever it goes."""
+    def may_reject(self, request: Request, unsent: Collection[Attempt] = ()) -> bool:
+        """Whether the client may retry: nothing ran, or the repeat is dropped wherever it goes.
+
+        `unsent` are attempts without a result of which no byte has left, and none will.
+        """
         effect = request.request_class.effect
-        if effect is Effect.IDEMPOTENT or first_that_may_have_run(request) is None:
+        if effect is Effect.IDEMPOTENT or first_that_may_have_run(request, unsent) is None:
             return True
         return (
             effect is Effect.WITH_IDEMPOTENCY_KEY
@@ -65,6 +70,7 @@
         )
 
 
-def first_that_may_have_run(request: Request) -> Attempt | None:
+def first_that_may_have_run(request: Request, unsent: Collection[Attempt] = ()) -> Attempt | None:
     """The first attempt of which it is not sure that it never ran."""
-    return next((a for a in request.attempts if a.result not in NEVER_RAN), None)
+    may_have_run = (a for a in request.attempts if a.result not in NEVER_RAN and a not in unsent)
+    return next(may_have_run, None)
--- a/support/virtual_time.py
+++ b/support/virtual_time.py
@@ -57,6 +57,10 @@
         """In seconds, as the timers of the loop and the deadlines of anyio count it."""
         return self._virtual.now_seconds
 
+    def stall(self, seconds: float) -> None:
+        """Time passes in which the loop runs nothing, as on a machine that has no core for it."""
+        self._virtual.now_seconds += seconds
+
 
 class ProcessTimeSelector(selectors.DefaultSelector):
     """Adds up for how long the loop has waited, each time up to its next timer."""
--- /dev/null
+++ b/tests/test_stalled_loop.py
@@ -0,0 +1,118 @@
+"""What clients are told where the event loop stood still over a deadline.
+
+All that is due is done in the turn after a stall, the input of sockets first. Its order must not decide
+whether an attempt that was never sent counts as one that may have run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import time
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+from anyio.abc import SocketAttribute
+
+from support.fleet import fleet, satisfied, until
+from support.virtual_time import VIRTUAL_TIME, VirtualTimeLoop, follow_loop_time
+from tests.nodes import SETTINGS, Caller, Play, play, with_deadlines, word
+
+pytestmark = pytest.mark.anyio
+virtual_time = pytest.mark.parametrize("anyio_backend", [VIRTUAL_TIME], ids=["virtual time"])
+METHODS = ("safe", "keyed", "unsafe")
+KEY = {"safe": {}, "unsafe": {}, "keyed": {"once": f"{1:032x}"}}
+DEADLINE_MS = 1500
+
+
+def keep_connections_from_coming_up(p: Play) -> None:
+    async def connect(_connection: Any) -> None:
+        await anyio.sleep_forever()
+
+    p.node.worker_client._connect = connect  # type: ignore[method-assign]
+
+
+def is_waiting_for_a_connection(p: Play) -> bool:
+    connections = p.node.worker_client.connections
+    return any(c.transport is None and c.outstanding_calls for c in connections)
+
+
+def put(client: Caller, data: bytes) -> None:
+    """Into the socket's buffer, before the loop turns again."""
+    os.write(client.stream.extra(SocketAttribute.raw_socket).fileno(), data)
+
+
+def stall(seconds: float) -> None:
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, VirtualTimeLoop)
+    loop.stall(seconds)
+
+
+@virtual_time
+@pytest.mark.parametrize("method", METHODS)
+async def test_a_request_that_was_never_sent_is_rejected_after_a_stall_over_its_deadline(
+    method: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a failure in place of a rejection: another client's input resumes the policy first."""
+    follow_loop_time(monkeypatch)
+    async with play(tmp_path) as p:
+        keep_connections_from_coming_up(p)
+        client, other = await p.client(), await p.client()
+        await client.ask(method, **KEY[method])
+        await until(lambda: is_waiting_for_a_connection(p))
+        put(other, other.task(id="00000000000000bb"))
+        stall(DEADLINE_MS / 1000)
+        assert word(await client.answer()) == "turned back"
+        assert p.did() == []
+
+
+@virtual_time
+@pytest.mark.parametrize("method", METHODS)
+async def test_a_request_that_was_never_sent_is_rejected_before_the_kill(
+    method: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a failure in place of a rejection for what has more time left than the process."""
+    follow_loop_time(monkeypatch)
+    async with play(tmp_path, settings=SETTINGS | with_deadlines(9.0)) as p:
+        keep_connections_from_coming_up(p)
+        client = await p.client()
+        await client.ask(method, wait=9000, **KEY[method])
+        await until(lambda: is_waiting_for_a_connection(p))
+        os.kill(os.getpid(), signal.SIGTERM)
+        assert word(await client.answer()) == "turned back"
+        assert p.did() == []
+
+
+@pytest.mark.parametrize("kind", ("estimate", "post", "notice"))
+async def test_the_edge_rejects_what_was_never_sent_after_a_stall_over_its_deadline(kind: str) -> None:
+    """Guards against 504 in place of 503: another client's input resumes the policy first."""
+    async with fleet({"a": [satisfied]}, limits={"connect_ms": 5000}) as f:
+        is_connecting = anyio.Event()
+
+        async def connect() -> None:
+            is_connecting.set()
+            await anyio.sleep_forever()
+
+        for worker in f.dispatcher.workers.values():
+            worker.connections.pool._connect = connect
+        key = {"repeatkey": "k"} if kind == "post" else {}
+        told: list[tuple[int, dict[str, object]]] = []
+
+        async def call() -> None:
+            told.append(await f.call(kind, left=1000, **key))
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(call)
+            await is_connecting.wait()
+            other = await anyio.connect_tcp("127.0.0.1", f.port)
+            await until(lambda: len(f.door.server.connections) == 2)
+            request = b"POST / HTTP/1.1\r\nhost: e\r\nce-specversion: 1.0\r\nce-id: o\r\nce-source: /c\r\n"
+            request += b"ce-type: estimate\r\nce-model: m\r\ncontent-length: 0\r\n\r\n"
+            os.write(other.extra(SocketAttribute.raw_socket).fileno(), request)
+            time.sleep(1.0)
+        await other.aclose()
+        assert [(status, answer["final"]) for status, answer in told] == [(503, "turned back")]
+        assert f.ran() == []
