Planner and agent log as edge and node do: no traceback stalls the event loop

What callers saw: an edge, planner or agent that logged one fault answered nobody for 0.1 s and more; on a busy machine leases ran out by it, and requests took over half a second beside the failure of a planner's link.

Cause: structlog was configured by edge and node alone. Its default renders the variables of every frame, on the event loop.

--- a/benchmarks/scale/measure.py
+++ b/benchmarks/scale/measure.py
@@ -35,6 +35,7 @@
 from martenlead.durable_state.store import StateKind, pack_state
 from martenlead.node import config
 from martenlead.node.serve import freeze_heap
+from martenlead.system.log import configure_log
 
 DELTAS = 6  # membership changes that are measured one by one
 AFTER_CHANGE_SECONDS = 1.0
@@ -65,17 +66,7 @@
     """The program's log is written as in production, and thrown away."""
     before = structlog.get_config()
     with open("/dev/null", "w") as nowhere:
-        structlog.configure(
-            processors=[
-                structlog.processors.add_log_level,
-                structlog.processors.TimeStamper(fmt="iso", utc=True),
-                structlog.processors.format_exc_info,
-                structlog.processors.JSONRenderer(),
-            ],
-            wrapper_class=structlog.make_filtering_bound_logger(20),
-            logger_factory=structlog.PrintLoggerFactory(nowhere),
-            cache_logger_on_first_use=False,
-        )
+        configure_log(stream=nowhere)
         try:
             yield
         finally:
--- a/martenlead/cli/edge.py
+++ b/martenlead/cli/edge.py
@@ -18,8 +18,9 @@
 from martenlead.config.load import ConfigError, decode
 from martenlead.edge.knowledge_saver import KnowledgeSaver
 from martenlead.edge.policy_boundary import Recorder, TeeRecorder
-from martenlead.edge.serve import Companion, configure_log, run
+from martenlead.edge.serve import Companion, run
 from martenlead.planner.planner_client import PlannerClient
+from martenlead.system.log import configure_log
 
 
 @click.command()
@@ -30,7 +31,7 @@
 def edge(config: Path, with_planner: bool) -> None:
     """Run one dispatcher. It prints its port as JSON on standard output."""
     settings = read_edge_settings(config)
-    configure_log(settings)
+    configure_log(settings.log.level)
     writer = _open_capture(settings, config)
     client = None
     if settings.planner and not with_planner:
--- a/martenlead/cli/layers.py
+++ b/martenlead/cli/layers.py
@@ -17,6 +17,7 @@
 from martenlead.layers.agent import Agent
 from martenlead.layers.cache import Cache, CacheRefusedError
 from martenlead.layers.settings import AgentSettings
+from martenlead.system.log import configure_log
 
 BYTES_PER_KB = 1024
 
@@ -111,6 +112,7 @@
 def agent(config: Path) -> None:
     """Run a worker's agent. It prints its port as JSON on standard output; SIGTERM ends it."""
     settings = load(config, AgentSettings)
+    configure_log()
     try:
         cache = Cache(Path(settings.cache), settings.cache_bytes, settings.hot_bytes)
     except (CacheRefusedError, OSError) as error:
--- a/martenlead/cli/plan.py
+++ b/martenlead/cli/plan.py
@@ -13,6 +13,7 @@
 from martenlead.cli.output import print_ready
 from martenlead.config.load import load
 from martenlead.planner.settings import PlannerSettings
+from martenlead.system.log import configure_log
 
 
 @click.command()
@@ -22,6 +23,7 @@
     from martenlead.planner.server import serve
 
     settings = load(config, PlannerSettings)
+    configure_log()
     try:
         anyio.run(serve, settings, print_ready, backend_options={"use_uvloop": True})
     except* OSError as errors:
--- a/martenlead/edge/serve.py
+++ b/martenlead/edge/serve.py
@@ -4,7 +4,6 @@
 
 import gc
 import signal
-import sys
 from collections.abc import AsyncIterator, Callable, Coroutine, Sequence
 from typing import TypeAlias
 
@@ -102,20 +101,6 @@
     dispatcher.finish_all()
 
 
-def configure_log(settings: EdgeSettings) -> None:
-    """Logs JSON lines to standard error."""
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.format_exc_info,
-            structlog.processors.JSONRenderer(),
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(settings.log.level),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
-    )
-
-
 def run(
     settings: EdgeSettings,
     on_started: Callable[[int], None] | None = None,
--- a/martenlead/node/serve.py
+++ b/martenlead/node/serve.py
@@ -4,11 +4,9 @@
 
 import asyncio
 import gc
-import logging
 import os
 import signal
 import socket
-import sys
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
@@ -27,6 +25,7 @@
 from martenlead.node.worker_client import WorkerClient
 from martenlead.system.clocks import unix_clock
 from martenlead.system.listener import bind
+from martenlead.system.log import configure_log
 
 # for the listener, the event loop, the journal service, what the interpreter opens, and clients
 # that come while others are closed
@@ -211,20 +210,6 @@
             await anyio.sleep(CLOSE_POLL_SECONDS)
 
 
-def configure_log() -> None:
-    """Writes log events as JSON lines to stderr."""
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.format_exc_info,
-            structlog.processors.JSONRenderer(),
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
-    )
-
-
 def freeze_heap() -> None:
     """Exempts all present objects from garbage collection, so that even a full one is short.
 
--- a/tests/test_wall_clock_contract.py
+++ b/tests/test_wall_clock_contract.py
@@ -24,8 +24,7 @@
 
 USES = {
     "node/serve.py Node.__init__ unix_clock": "starts of workers are Unix times; bounded by worker_age",
-    "node/serve.py configure_log TimeStamper": "the time of a log line, for people",
-    "edge/serve.py configure_log TimeStamper": "the time of a log line, for people",
+    "system/log.py configure_log TimeStamper": "the time of a log line, for people",
     "edge/protocol.py _read_time_left_ms wall_ns": "`expirytime` is a Unix time; judged once, on arrival",
     "edge/queue_admission.py QueueAdmission.__init__ wall_ns": "reservations travel as Unix times",
     "edge/knowledge_saver.py KnowledgeSaver.__init__ wall_ns": "the time of saving, for another boot",
