Tests of crossings and shutdowns run in virtual time where a stop outlasts them

No caller saw a fault.

Cause: its last request has 1.5 s. A process that stands still for longer rejects it without an attempt, as it should.

Change: what these tests assert is as it was, but a stop is no time of theirs.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -159,7 +159,11 @@
         assert (client.number, p.did("UNDO"), p.runners["a"].connections) == (2, [], 1)
 
 
-async def test_taken_back_in_the_read_that_it_came_in_is_never_sent(tmp_path: Path) -> None:
+@virtual_time
+async def test_taken_back_in_the_read_that_it_came_in_is_never_sent(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    follow_loop_time(monkeypatch)  # a stop of this process may be longer than the request's wait
     async with play(tmp_path) as p:
         client = await p.client()
         tasks = [client.task(id=f"{n:016x}") for n in range(1, 31)]
@@ -191,7 +195,11 @@
         assert await one.call() == "satisfied"
 
 
-async def test_taken_back_tasks_count_as_open_as_long_as_runners_may_be_at_them(tmp_path: Path) -> None:
+@virtual_time
+async def test_taken_back_tasks_count_as_open_as_long_as_runners_may_be_at_them(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    follow_loop_time(monkeypatch)  # they count for a latency objective, which a stop may outlast
     async with play(tmp_path, {"a": [silent], "b": [silent]}) as p:
         client = await p.client()
         for box in p.node.dispatcher.workers.values():
--- a/tests/test_shutdown_faults.py
+++ b/tests/test_shutdown_faults.py
@@ -18,6 +18,7 @@
 from anyio.abc import SocketStream
 
 from support.fleet import until
+from support.virtual_time import VIRTUAL_TIME, follow_loop_time
 from tests.nodes import (
     BROKEN,
     Asker,
@@ -46,6 +47,17 @@
 answers = in_turn(done)
 
 
+@pytest.fixture
+def anyio_backend() -> Any:
+    """A stop of this process is no time of the deadlines, the kill and the lists that tests are about."""
+    return VIRTUAL_TIME
+
+
+@pytest.fixture(autouse=True)
+async def loop_time(anyio_backend: Any, monkeypatch: pytest.MonkeyPatch) -> None:
+    follow_loop_time(monkeypatch)
+
+
 def is_up(p: Play, name: str) -> bool:
     box = p.node.dispatcher.workers.get(f"s-{ord(name):08x}")
     return box is not None and box.is_up
