--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -181,7 +181,7 @@
         return "failed", "F", "FAILED"
 
     def pytest_terminal_summary(self, terminalreporter: pytest.TerminalReporter) -> None:
-        """Print each known failure, and each flaky test, with what was seen, its issue, its command and its result."""
+        """Print each known failure and each flaky test, with its line of the list and its result."""
         lines = list(self._summary_lines())
         if not lines:
             return
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -16,47 +16,32 @@
 
 from martenlead.node.serve import Node
 from support.fleet import GONE, until
+from support.node_wire import (
+    SETTINGS as SETTINGS,
+)
+from support.node_wire import (
+    ListedWorker,
+    configuration,
+)
+from support.node_wire import (
+    answer as answer,
+)
+from support.node_wire import (
+    frame as frame,
+)
+from support.node_wire import (
+    message as message,
+)
+from support.node_wire import (
+    record as record,
+)
+from support.node_wire import (
+    with_deadlines as with_deadlines,
+)
 from support.peers import PeerListener, unused_port
 
 Part = Callable[["Runner", SocketStream, dict[str, Any]], Awaitable[None]]
 BROKEN = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
-SETTINGS: dict[str, Any] = {
-    "balancers": 1,
-    "granularity": 0.001,
-    "azs": ["east"],
-    "skus": ["std"],
-    "weights": "nominal",
-    "allowed": {
-        "attempts-cap": 5,
-        "cancel": True,
-        "may-duplicate": False,
-        "retry-after": True,
-        "max-retry-after": 2.0,
-        "connect-timeout": 0.25,
-        "conn-idle": 30.0,
-        "streams-per-conn": 32,
-    },
-    "rules": {"cold-from": 0.2, "cold": 10.0, "fall-multiple": 2.5, "ask-every": 10.0},
-    "family-info": {"if-cold": "load", "kind-memory-mb": [50_000], "linger-idle": 5.0, "tells-warm": True},
-    "orgs": [{"name": "acme", "quota-per-s": 1000.0}],
-    "classes": [
-        {"name": "safe", "effect": "read_like", "on-time": 0.4, "give-up": 2.0},
-        {
-            "name": "keyed",
-            "effect": "idempotency_key",
-            "on-time": 0.4,
-            "give-up": 2.0,
-            "group": "all",
-            "dedup-window": 8.0,
-        },
-        {"name": "unsafe", "effect": "non_idempotent", "on-time": 0.4, "give-up": 2.0},
-    ],
-}
-
-
-def answer(word: str, txn: str, why: str = "", raw: str = "", **more: Any) -> bytes:
-    props = {**({"why": why} if why else {}), **more}
-    return json.dumps({"m": word, "txn": txn, "props": props, "raw": raw}).encode() + b"\n"
 
 
 def says(word: str, why: str = "resident") -> Part:
@@ -184,15 +169,6 @@
                 await stream.send(event[:cut])
 
 
-def frame(number: int, kind: int, *records: bytes) -> bytes:
-    payload = b"".join(records)
-    return struct.pack(">IQB", 9 + len(payload), number, kind) + payload
-
-
-def record(number: int, port: int, state: int = 0, started: int = 0) -> bytes:
-    return struct.pack(">IIHBBBHIQ", number, 0x7F000001, port, state, 0, 0, 0, 1000, started)
-
-
 class Caller:
     """One client connection."""
 
@@ -272,17 +248,6 @@
         return sorted(number for number, _, _ in self.answers) == sorted(self.asked)
 
 
-def with_deadlines(seconds: float) -> dict[str, Any]:
-    """The settings with this deadline for each class, and half of it as the latency objective."""
-    classes = [c | {"on-time": seconds / 2, "give-up": seconds} for c in SETTINGS["classes"]]
-    return SETTINGS | {"classes": classes}
-
-
-def message(told: Any) -> bytes:
-    body = json.dumps(told).encode()
-    return b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
-
-
 def word(told: dict[str, Any] | None) -> str:
     if told is None:
         return "closed"
@@ -313,21 +278,9 @@
         return runner
 
     def write(self, journal: int, **more: Any) -> None:
-        members = [
-            {"id": f"s-{ord(n):08x}", "host_port": f"127.0.0.1:{r.port}", "locality": "east", "flavor": "std"}
-            | {"cell": 0, "phase": "in_service", "size": 1.0, "up_since_ms": 0}
-            for n, r in self.runners.items()
-        ]
-        config = {
-            "name": "n0",
-            "listen": f"127.0.0.1:{self.port}",
-            "seed": "5",
-            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
-            "journal": f"127.0.0.1:{journal}",
-            "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"complete": True, "members": members}}]},
-            "settings": SETTINGS,
-        }
-        self.path.write_text(json.dumps(config | more))
+        workers = [ListedWorker(ord(name), runner.port) for name, runner in self.runners.items()]
+        config = configuration("n0", self.port, journal, workers, **more)
+        self.path.write_text(json.dumps(config))
 
     async def client(self) -> Caller:
         return Caller(await anyio.connect_tcp("127.0.0.1", self.port))
