The edge writes a response again where the machine had no memory for it

What callers saw: the end of the connection in place of the response, and all other requests in flight on it lost, though they had run.

Cause: responses went through the event loop alone, which ends a connection at ENOBUFS and ENOMEM; Linux documents both for send(2), and neither says anything of the connection.

Evidence: with three such errors from the first sends on a client's connection the exchange ends without a response under asyncio.

--- a/martenlead/events/connection.py
+++ b/martenlead/events/connection.py
@@ -31,6 +31,7 @@
 )
 from martenlead.events.server_interface import ConnectionOwner, Reply
 from martenlead.system.sockets import has_ended, readable
+from martenlead.system.stream_writes import send_all
 
 READ_BYTES = (
     16_384  # of one read: all its messages are parsed at once, and a slow handler holds them
@@ -213,7 +214,7 @@
                 return error
             if reader.expects_continue and not slots:
                 reader.expects_continue = False
-                await self.stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+                await send_all(self.stream, b"HTTP/1.1 100 Continue\r\n\r\n")
         return None
 
     def _parse(self, data: bytes) -> tuple[list[Message], InvalidMessageError | None]:
@@ -324,16 +325,16 @@
         """Writes one response; the last one says that the connection closes."""
         headers = reply.headers
         if isinstance(reply.body, bytes):
-            await self.stream.send(self._encode(reply, reply.body, is_last))
+            await send_all(self.stream, self._encode(reply, reply.body, is_last))
             return
         chunked = (b"transfer-encoding", b"chunked")
-        await self.stream.send(response(reply.status, [*headers, chunked], None))
+        await send_all(self.stream, response(reply.status, [*headers, chunked], None))
         async with aclosing(reply.body) as parts:  # it ends also where the client has gone
             async for part in parts:
                 self.write_started_ns = monotonic_ns()
-                await self.stream.send(chunk(part))
+                await send_all(self.stream, chunk(part))
                 self.write_started_ns = NEVER_NS  # between two parts the client is not waited for
-        await self.stream.send(chunk(b""))
+        await send_all(self.stream, chunk(b""))
 
     def _encode(self, reply: Reply, body: bytes, is_last: bool) -> bytes:
         close: Headers = [(b"connection", b"close")] if is_last else []
