A planner ends the oldest connection without a Hello where another needs its place

What callers saw: an edge that came while silent connections held all places of its planner waited up to 5 s for each round of them, and had no lease.

Cause: a connection had 5 s for its Hello whether others waited or not.

Evidence: twice the places in silent connections, then an edge: no lease in 5 s (with the 5 s made 60, so that nothing else ends them).

Why the fix works: the listener says where a connection waits without room (on_full, as the edge's server uses it), and the one that has been silent for longest goes. An edge says Hello at once, so it is not the oldest for long.

--- a/martenlead/planner/server.py
+++ b/martenlead/planner/server.py
@@ -49,6 +49,8 @@
         self.incarnation = f"{Random().getrandbits(64):016x}"
         self.sessions: dict[str, PlannerSession] = {}  # by edge
         self.connection_scopes: dict[str, anyio.CancelScope] = {}  # by edge
+        # of connections without a Hello, the oldest first
+        self._hello_scopes: dict[SocketStream, anyio.CancelScope] = {}
         self.log = structlog.get_logger().bind(planner=settings.name)
         self._last_number = 0
         path = Path(settings.state_path) if settings.state_path is not None else None
@@ -124,8 +126,15 @@
                 admin, port = await listen(self.settings.admin.host, self.settings.admin.port)
                 group.start_soon(self._make_admin_server().serve, admin)
                 self.log.info("admin_started", port=port)
+            listener.on_full = self._end_oldest_without_hello
             await listener.serve(self._serve_connection, group)
 
+    def _end_oldest_without_hello(self) -> None:
+        """Makes room for a connection that waits to be accepted, and may be that of an edge."""
+        oldest = next(iter(self._hello_scopes.values()), None)
+        if oldest is not None:
+            oldest.cancel()
+
     async def _serve_connection(self, stream: SocketStream) -> None:
         """Serves one connection to its end; a fault costs this link alone."""
         reason, edge = "closed", ""
@@ -151,10 +160,18 @@
     async def _read_first(
         self, stream: SocketStream, reader: fr.FrameReader
     ) -> list[fr.AnyMessage]:
+        """The first messages. Raises `LinkProtocolError` where others need the place."""
         messages: list[fr.AnyMessage] = []
-        with anyio.fail_after(HELLO_TIMEOUT_SECONDS):
-            while not messages:
-                messages = reader.feed(await stream.receive())
+        with anyio.fail_after(HELLO_TIMEOUT_SECONDS) as scope:
+            self._hello_scopes[stream] = scope
+            try:
+                while not messages:
+                    messages = reader.feed(await stream.receive())
+            finally:
+                del self._hello_scopes[stream]
+        if not messages:
+            error = "no Hello came, and others wait for its place"
+            raise LinkProtocolError(error)
         return messages
 
     async def _run_session(
