Tests of isolation run in process time: under stops the flood gets its part alone

Question: the stops, or more than its part for the flood while the loop is late? So it was the stops, longer together than the 0.4 s that the clients wait; no fault of the program shows.

--- a/support/fleet.py
+++ b/support/fleet.py
@@ -14,6 +14,7 @@
 
 from martenlead.config.edge import EdgeSettings, check_edge_settings
 from martenlead.config.load import decode
+from martenlead.edge import http_dispatcher
 from martenlead.edge.dispatcher import Dispatcher
 from martenlead.edge.http_dispatcher import create_dispatcher
 from martenlead.edge.listener import EventListener
@@ -262,7 +263,7 @@
         group.start_soon(serve_roster)
         config = {"seed": 5, "roster": {"port": f.roster_port}, "offerings": OFFERINGS, **settings}
         f.edge = check_edge_settings(decode(config, EdgeSettings, "test"), "test")
-        f.dispatcher = create_dispatcher(f.edge, recorder=tape)
+        f.dispatcher = create_dispatcher(f.edge, http_dispatcher.monotonic_ns, tape)
         f.door = EventListener(f.dispatcher, f.edge)
         group.start_soon(f.dispatcher.run)
         door, f.port = await listen("127.0.0.1", 0)
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -20,6 +20,7 @@
 from martenlead.events.client import Pool
 from martenlead.events.cloudevent import Event, encode_event
 from support.fleet import Fleet, Runner, fleet, satisfied, until
+from support.virtual_time import PROCESS_TIME, follow_loop_time
 from tests.nodes import BROKEN, SETTINGS, Asker, Play, done, in_turn, play
 
 pytestmark = pytest.mark.anyio
@@ -43,6 +44,17 @@
 TROUBLE = [(w, c) for w in WORKERS for c in CLIENTS if (w, c) != ("well", "none")]
 
 
+@pytest.fixture
+def anyio_backend() -> Any:
+    """All sides share one process: what it loses to the machine counts for none of them."""
+    return PROCESS_TIME
+
+
+@pytest.fixture(autouse=True)
+async def loop_time(anyio_backend: Any, monkeypatch: pytest.MonkeyPatch) -> None:
+    follow_loop_time(monkeypatch)
+
+
 class AtWorkers:
     """How many requests of whom workers have had, in all and at once."""
 
