--- a/support/fleet.py
+++ b/support/fleet.py
@@ -263,7 +263,8 @@
         group.start_soon(serve_roster)
         config = {"seed": 5, "roster": {"port": f.roster_port}, "offerings": OFFERINGS, **settings}
         f.edge = check_edge_settings(decode(config, EdgeSettings, "test"), "test")
-        f.dispatcher = create_dispatcher(f.edge, http_dispatcher.monotonic_ns, tape)
+        clock = http_dispatcher.monotonic_ns  # type: ignore[attr-defined]  # a test may have replaced it
+        f.dispatcher = create_dispatcher(f.edge, clock, tape)
         f.door = EventListener(f.dispatcher, f.edge)
         group.start_soon(f.dispatcher.run)
         door, f.port = await listen("127.0.0.1", 0)
--- a/support/peers.py
+++ b/support/peers.py
@@ -8,6 +8,9 @@
 
 import socket
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from pathlib import Path
+from random import SystemRandom
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
@@ -16,6 +19,8 @@
 from martenlead.system.listener import ClientDescriptors
 
 BACKLOG = 4096
+EPHEMERAL_RANGE = Path("/proc/sys/net/ipv4/ip_local_port_range")  # of ports of outgoing connections
+FIRST_PORT = 10_000  # of those that tests take
 DESCRIPTORS = 1 << 20  # the limit of the process holds for the program under test, not for its peers
 
 
@@ -98,7 +103,14 @@
 
 
 def unused_port() -> int:
-    """A port of the loopback address that nothing listens at."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """A port of the loopback address that nothing listens at, and that no outgoing connection is given.
+
+    Ports of the ephemeral range may be taken by any connection before the program under test binds.
+    """
+    first_ephemeral = int(EPHEMERAL_RANGE.read_text().split()[0])
+    random = SystemRandom()
+    while True:
+        port = random.randrange(FIRST_PORT, first_ephemeral)
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
