--- a/review/node_platform.py
+++ b/review/node_platform.py
@@ -240,10 +240,11 @@
             answer = await self.send("call", params, 2.5)
         except READ_ERRORS:
             answer = None
-        outcome = "lost"
+        outcome, body = "lost", None
         if answer is not None and "result" in answer:
-            outcome = "served" if answer["result"]["blob"] == blob else "wrong"
+            body = answer["result"]["blob"]
+            outcome = "served" if body == blob else "wrong"
         elif answer is not None:
             outcome = "refused" if answer["error"]["code"] == -32001 else "failed"
-        self.record.write("answered", client=self.name, id=request_id, outcome=outcome)
+        self.record.write("answered", client=self.name, id=request_id, outcome=outcome, body=body)
         return outcome
