Ended connections of a node release what they have received at once

Cause: reference cycles kept the received bytes until the garbage collector ran, which counts objects and not bytes. Sender held bound methods of its connection, and so the decoder with the part of a message. Errors were kept as values in frames that their tracebacks refer to (ClientConnection._process, RequestHandler._parse), with the bytes of the whole read: refused messages did the same.

Change: Sender reaches the protocol through the transport, which lets go of it at its end; decoders drop a part of a message or line as the connection closes or cannot be decoded, towards clients and workers; a refused message is kept as a Refusal, without a traceback.

--- a/martenlead/node/client_connection.py
+++ b/martenlead/node/client_connection.py
@@ -107,9 +107,7 @@
         self.transport = transport
         transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
         give_up_seconds = STALLED_CLIENT_TIMEOUT_NS / 1e9
-        self.sender = Sender(
-            transport, WRITE_BUFFER_BYTES, give_up_seconds, self.pause_writing, self.resume_writing
-        )
+        self.sender = Sender(transport, WRITE_BUFFER_BYTES, give_up_seconds)
         self.last_read_ns = self.listener.dispatcher.clock()
         self.listener.add_connection(self)
 
@@ -122,7 +120,7 @@
             self._process(data, self.listener.dispatcher.clock())
         except Exception as error:  # a fault of this program closes only this connection
             self.listener.dispatcher.record_fault(error)
-            self.is_unreadable = True
+            self._stop_decoding()
             self.begin_graceful_close()
         finally:
             self.is_reading = False
@@ -133,11 +131,11 @@
     def _process(self, data: bytes, now_ns: int) -> None:
         if self.is_unreadable:
             return
-        framing_error: FramingError | None = None
+        framing_error_text = ""
         try:
             messages = self.decoder.feed(data)
         except FramingError as error:
-            messages, framing_error = error.complete_messages, error
+            messages, framing_error_text = error.complete_messages, error.detail
         arrived_ns = self._earliest_arrival_ns(now_ns, len(data))
         self.listener.requests.handle_messages(self, messages, arrived_ns)
         if messages:
@@ -146,11 +144,16 @@
             self.partial_since_ns = 0
         elif messages or not self.partial_since_ns:
             self.partial_since_ns = now_ns
-        if framing_error is not None:
-            self.write(encode_error(None, INVALID_REQUEST, framing_error.detail))
-            self.is_unreadable = True
+        if framing_error_text:
+            self.write(encode_error(None, INVALID_REQUEST, framing_error_text))
+            self._stop_decoding()
             self.begin_graceful_close()
 
+    def _stop_decoding(self) -> None:
+        """Ignores all further input, as message boundaries are unknown."""
+        self.is_unreadable = True
+        self.decoder.discard()
+
     def _earliest_arrival_ns(self, now_ns: int, size_bytes: int) -> int:
         """Returns the earliest time at which the bytes just read may have arrived."""
         arrival_ns = self.listener.dispatcher.event_loop_lag.earliest_arrival(now_ns)
@@ -166,6 +169,8 @@
     def connection_lost(self, _error: Exception | None) -> None:
         """Unregisters the connection from its listener."""
         self.is_closed = True
+        self.decoder.discard()
+        self.graceful_close = None  # it refers to this connection: a reference cycle
         self.listener.remove_connection(self)
         self.listener.closing.pop(self, None)
         self.listener.on_connection_closed()
@@ -247,6 +252,7 @@
 
     def _mark_closed(self) -> None:
         self.is_closed = True
+        self.decoder.discard()
         self.listener.closing[self] = self.listener.dispatcher.clock()
         self.listener.remove_connection(self)
 
--- a/martenlead/node/client_protocol.py
+++ b/martenlead/node/client_protocol.py
@@ -94,6 +94,11 @@
         self._buffer = buffer[start:]
         return messages
 
+    def discard(self) -> None:
+        """Drops an incomplete message, as its connection has ended or cannot be decoded."""
+        self._buffer = b""
+        self._length = -1
+
     def _parse_header(self, header: bytes, messages: list[bytes]) -> int:
         """Returns the length of the body."""
         length = -1
@@ -112,16 +117,33 @@
         return length
 
 
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    """The error response to a message that is not accepted.
+
+    `number` is the message's, or None if it has no valid one.
+    """
+
+    code: int
+    detail: str
+    number: int | None = None
+
+
 class InvalidCallError(Exception):
     """A message that is not accepted.
 
-    `code` and `detail` are sent to the client. `number` is the message's, or None if it has no
-    valid one.
+    Keep its `refusal` and not the error itself: the error's traceback refers to the frames that
+    hold the message, and so to whoever keeps the error there.
     """
 
     def __init__(self, code: int, detail: str, number: int | None = None) -> None:
         super().__init__(detail)
-        self.code, self.detail, self.number = code, detail, number
+        self.refusal = Refusal(code, detail, number)
+
+    @property
+    def number(self) -> int | None:
+        """The number of the message, or None if it has no valid one."""
+        return self.refusal.number
 
 
 class _Params(msgspec.Struct):
@@ -295,13 +317,13 @@
     return InvalidCallError(INVALID_REQUEST, detail[:200])
 
 
-def unparsed_call_error(message: bytes) -> InvalidCallError:
-    """Returns the error for a message that was not parsed because of a fault in this program.
+def refuse_unparsed(message: bytes) -> Refusal:
+    """Returns the refusal of a message that was not parsed because of a fault in this program.
 
     The message had no effect, so its client may send it again.
     """
     number = _describe_undecodable(message, "").number
-    return InvalidCallError(REQUEST_REJECTED, "a fault of the dispatcher", number)
+    return Refusal(REQUEST_REJECTED, "a fault of the dispatcher", number)
 
 
 def _encode_frame(body: bytes) -> bytes:
--- a/martenlead/node/request_handler.py
+++ b/martenlead/node/request_handler.py
@@ -12,6 +12,7 @@
 from martenlead.node.client_protocol import (
     Call,
     InvalidCallError,
+    Refusal,
     encode_error,
     encode_ping_result,
     encode_result,
@@ -58,25 +59,25 @@
         for index, call in enumerate(calls):
             if connection.is_closed:
                 return
-            if isinstance(call, InvalidCallError):
+            if isinstance(call, Refusal):
                 self._refuse(connection, call)
                 continue
             try:
                 self._handle_call(connection, call, now_ns, arrived_ns, index in cancelled)
                 connection.has_sent_message = True
             except InvalidCallError as error:
-                self._refuse(connection, error)
+                self._refuse(connection, error.refusal)
             except Exception as error:  # a fault of this program: handle the other messages
                 self._report_fault(connection, call, error)
 
-    def _parse(self, message: bytes) -> Call | InvalidCallError:
+    def _parse(self, message: bytes) -> Call | Refusal:
         try:
             return client_protocol.parse_call(message)
         except InvalidCallError as error:
-            return error
+            return error.refusal
         except Exception as error:  # a fault of this program: the client may resend
             self.dispatcher.record_fault(error)
-            return client_protocol.unparsed_call_error(message)
+            return client_protocol.refuse_unparsed(message)
 
     def _handle_call(
         self,
@@ -99,17 +100,17 @@
             if connection.error_count > ERRORS_PER_CONNECTION:
                 connection.begin_graceful_close()
 
-    def _refuse(self, connection: ClientConnection, error: InvalidCallError) -> None:
-        self.dispatcher.counts["refused", str(error.code)] += 1
+    def _refuse(self, connection: ClientConnection, refusal: Refusal) -> None:
+        self.dispatcher.counts["refused", str(refusal.code)] += 1
         connection.error_count += 1
-        number = error.number
+        number = refusal.number
         if number is not None and number in connection.open_requests:
             number = None  # the open request's own response is still due
-        refusal = encode_error(number, error.code, error.detail)
+        response = encode_error(number, refusal.code, refusal.detail)
         if number is None:
-            connection.write(refusal)
+            connection.write(response)
         else:
-            connection.respond(number, refusal)
+            connection.respond(number, response)
         if number is None or connection.error_count > ERRORS_PER_CONNECTION:
             connection.begin_graceful_close()
 
@@ -244,13 +245,13 @@
             del self.finished_ids[next(iter(self.finished_ids))]
 
 
-def _find_cancelled(calls: list[Call | InvalidCallError]) -> Collection[int]:
+def _find_cancelled(calls: list[Call | Refusal]) -> Collection[int]:
     """Returns the indexes of the requests that a later message cancels."""
     cancelled_ids: set[int | str | None] = set()
     indexes: set[int] = set()
     for index in range(len(calls) - 1, -1, -1):
         call = calls[index]
-        if isinstance(call, InvalidCallError):
+        if isinstance(call, Refusal):
             continue
         if call.method == "abort":
             cancelled_ids.add(call.cancelled_id)
--- a/martenlead/node/upstream_connection.py
+++ b/martenlead/node/upstream_connection.py
@@ -90,7 +90,7 @@
         # is buffered here to be sent when the worker reads again: it may be draining by then.
         transport.set_write_buffer_limits(0)
         give_up_seconds = self.owner.settings.connect_timeout_ns / 1e9
-        self.sender = Sender(transport, 0, give_up_seconds, self.pause_writing, self.resume_writing)
+        self.sender = Sender(transport, 0, give_up_seconds)
         self.last_received_ns = self.idle_since_ns = self.owner.clock()
         self._write_waiting(unread)
 
@@ -256,6 +256,7 @@
         if self.is_closed:
             return
         self.is_closed = True
+        self.decoder.discard()
         self.owner.remove_connection(self)
         calls = list(self.outstanding_calls.values())
         self.outstanding_calls.clear()
--- a/martenlead/node/worker_protocol.py
+++ b/martenlead/node/worker_protocol.py
@@ -80,6 +80,10 @@
                 raise InvalidLineError(lines, "incomplete line too long")
         return lines
 
+    def discard(self) -> None:
+        """Drops an incomplete line, as its connection has ended or cannot be decoded."""
+        self._parts, self._parts_bytes = [], 0
+
 
 class _Props(msgspec.Struct):
     why: str = ""
--- a/martenlead/system/sender.py
+++ b/martenlead/system/sender.py
@@ -25,22 +25,18 @@
     here and retried. Data that the peer does not accept yet is passed to the transport, and so is
     all later data while the transport has any buffered. A transport without a socket gets all data.
     Every other error ends the connection.
+
+    The protocol is reached through the transport, which lets go of it as the connection ends: a
+    reference held here would be a cycle, and the protocol would wait for the garbage collector.
     """
 
-    def __init__(
-        self,
-        transport: Any,
-        limit: int,
-        give_up_seconds: float,
-        pause: Callable[[], None],
-        resume: Callable[[], None],
-    ) -> None:
-        """Calls `pause` once more than `limit` bytes are kept, `resume` once they were sent.
-
-        The connection is aborted if none of the kept data was sent for `give_up_seconds`.
+    def __init__(self, transport: Any, limit: int, give_up_seconds: float) -> None:
+        """Calls the protocol's `pause_writing` once more than `limit` bytes are kept.
+
+        Calls its `resume_writing` once they were sent. The connection is aborted if none of the
+        kept data was sent for `give_up_seconds`.
         """
         self.transport, self.limit, self.give_up_seconds = transport, limit, give_up_seconds
-        self._pause, self._resume = pause, resume
         self._descriptor = descriptor(transport)
         self._kept = b""
         self._kept_since = 0.0
@@ -100,7 +96,7 @@
         self._kept += data
         if len(self._kept) > self.limit and not self._is_paused:
             self._is_paused = True
-            self._pause()
+            self.transport.get_protocol().pause_writing()
 
     def _retry(self) -> None:
         loop = asyncio.get_running_loop()
@@ -125,7 +121,7 @@
         if self._is_paused:
             self._is_paused = False
             if self.transport.get_write_buffer_size() <= self.limit:
-                self._resume()
+                self.transport.get_protocol().resume_writing()
         if self._next is not None:
             action, self._next = self._next, None
             action()
