Ended connections of the edge release what they have received at once

Reader and its parser refer to each other and held parts of a body, the last message and the last error; _parse kept an error as a value, whose traceback refers to the frames with the bytes; and an anyio task group leaves the exception of a cancelled task in a cycle, with all frames of the request.

Change: Reader.close drops what was received, for server and client; InvalidMessage is what is kept of an invalid message; _answer_next drops the traceback of a cancellation; an idle connection keeps no message. _read is split into steps, so that its locals end with each read.

The check of test_cloudevent reads the status from where it is now, as strict as before.

--- a/martenlead/events/client.py
+++ b/martenlead/events/client.py
@@ -80,6 +80,12 @@
         self.poll = select.poll()
         self.poll.register(self.descriptor, select.POLLIN | select.POLLHUP | select.POLLERR)
 
+    async def close(self) -> None:
+        """Closes it without waiting, and drops what was received."""
+        self.reader.close()
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(self.stream)
+
     def is_stale(self) -> bool:
         """Whether an idle connection received anything: its end, or bytes without a request.
 
@@ -160,8 +166,7 @@
                 self._idle.append(connection)
             else:
                 self.open_connections -= 1
-                with anyio.CancelScope(shield=True):
-                    await anyio.aclose_forcefully(connection.stream)
+                await connection.close()
 
     async def _reuse(self) -> _Connection | None:
         """An idle connection that is still usable, or None; closes those that are not."""
@@ -172,8 +177,7 @@
                 return connection
             self.open_connections -= 1
             self.stray_responses += is_stale and connection.has_stray_bytes()
-            with anyio.CancelScope(shield=True):
-                await anyio.aclose_forcefully(connection.stream)
+            await connection.close()
         return None
 
     async def _connect(self) -> _Connection | Exchange:
@@ -225,7 +229,7 @@
                 reader.completed[0].keep_alive = False
                 self.stray_responses += 1
                 return Exchange(ExchangeEnd.ANSWERED, reader.completed[0])
-            return Exchange(ExchangeEnd.GARBAGE, detail=error.detail)
+            return Exchange(ExchangeEnd.GARBAGE, detail=error.reason.detail)
 
     async def close(self) -> None:
         """Closes the idle connections; running exchanges close the others."""
@@ -233,7 +237,7 @@
         for connection in idle:
             self.open_connections -= 1
             self.stray_responses += connection.is_stale() and connection.has_stray_bytes()
-            await anyio.aclose_forcefully(connection.stream)
+            await connection.close()
 
 
 async def read_lines(
@@ -295,9 +299,10 @@
 
     def feed(self, data: bytes) -> bytes:
         """The part of the body in these bytes. Raises `InvalidMessageError`."""
-        self.parts.clear()
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
             raise InvalidMessageError(502, f"not HTTP/1.1: {error}") from None
-        return b"".join(self.parts)
+        body = b"".join(self.parts)
+        self.parts.clear()
+        return body
--- a/martenlead/events/connection.py
+++ b/martenlead/events/connection.py
@@ -23,6 +23,7 @@
 
 from martenlead.events.http import (
     Headers,
+    InvalidMessage,
     InvalidMessageError,
     Message,
     Reader,
@@ -93,7 +94,7 @@
         self._read_ahead: deque[_Received] = deque()
         self._read_ahead_bytes = 0
         self._slot_wait = anyio.CancelScope()
-        self._job: tuple[Message, int, _ResponseSlot] | None = None
+        self._jobs: deque[tuple[Message, int, _ResponseSlot]] = deque()
         self._has_job = anyio.Event()
         self._is_answerer_idle = False
         self._socket: Any = None  # `Any`: the event loop's own type, see system/sockets.py
@@ -161,8 +162,15 @@
                 if is_open and self.has_last_request:
                     await self._linger()
         finally:
+            self._release_input()
             await anyio.aclose_forcefully(self.stream)
 
+    def _release_input(self) -> None:
+        """Drops what was received: tasks and scopes may refer to this connection for longer."""
+        self.reader.close()
+        self._read_ahead.clear()
+        self._jobs.clear()
+
     async def _serve(self, group: TaskGroup) -> bool:
         """Serves all requests; returns false if the client disconnected during that time."""
         error = None
@@ -172,7 +180,7 @@
         except CLIENT_GONE_ERRORS:
             return False
         if self.is_too_slow:
-            error = InvalidMessageError(REQUEST_TIMEOUT, "the message took too long to arrive")
+            error = InvalidMessage(REQUEST_TIMEOUT, "the message took too long to arrive")
         if error is not None:
             slot = _ResponseSlot(is_last=True)
             self.slots.append(slot)
@@ -184,50 +192,62 @@
 
     # -- reading
 
-    async def _read(self, group: TaskGroup) -> InvalidMessageError | None:
-        """Reads and starts requests up to the last one; returns the error of an invalid message."""
-        reader, slots = self.reader, self.slots
+    async def _read(self, group: TaskGroup) -> InvalidMessage | None:
+        """Reads and starts requests up to the last one; returns why a message is invalid."""
         group.start_soon(self._answer_jobs)
         while not self.has_last_request:
-            was_in_message = reader.in_message
-            received = await self._receive()
-            if not was_in_message:
-                self.last_read_ns = received.read_ns
-            messages, error = self._parse(received.data)
-            self.has_sent_request = self.has_sent_request or bool(messages)
-            self._requests_without_slot = len(messages)
-            for message in messages:
-                message.peer = self
-                # one read can hold far more small requests than may be in flight
-                await self._wait_for_slot()
-                self._requests_without_slot -= 1
-                self.has_last_request = self.has_last_request or not message.keep_alive
-                slot = _ResponseSlot(self.has_last_request)
-                slots.append(slot)
-                if self._is_answerer_idle:
-                    self._is_answerer_idle = False
-                    self._job = message, received.arrived_ns, slot
-                    self._has_job.set()
-                else:
-                    group.start_soon(self._answer, message, received.arrived_ns, slot)
-                if self.has_last_request:
-                    # a client sends nothing after a request that closes the connection
-                    self._requests_without_slot = 0
-                    return None
-            if error is not None:
+            invalid = await self._read_once(group)
+            if invalid is not None:
                 self.has_last_request = True
-                return error
-            if reader.expects_continue and not slots:
-                reader.expects_continue = False
-                await send_all(self.stream, b"HTTP/1.1 100 Continue\r\n\r\n")
+                return invalid
         return None
 
-    def _parse(self, data: bytes) -> tuple[list[Message], InvalidMessageError | None]:
-        """The messages that these bytes complete, and the error of an invalid one after them."""
+    async def _read_once(self, group: TaskGroup) -> InvalidMessage | None:
+        """Reads once and starts the requests that are complete then.
+
+        What was read is released as this returns, and not held while the connection is idle.
+        """
+        reader = self.reader
+        was_in_message = reader.in_message
+        received = await self._receive()
+        if not was_in_message:
+            self.last_read_ns = received.read_ns
+        messages, invalid = self._parse(received.data)
+        self.has_sent_request = self.has_sent_request or bool(messages)
+        self._requests_without_slot = len(messages)
+        for message in messages:
+            await self._start_request(group, message, received.arrived_ns)
+            if self.has_last_request:
+                # a client sends nothing after a request that closes the connection
+                self._requests_without_slot = 0
+                return None
+        if invalid is None and reader.expects_continue and not self.slots:
+            reader.expects_continue = False
+            await send_all(self.stream, b"HTTP/1.1 100 Continue\r\n\r\n")
+        return invalid
+
+    async def _start_request(self, group: TaskGroup, message: Message, arrived_ns: int) -> None:
+        """Starts one request once it has a slot."""
+        message.peer = self
+        # one read can hold far more small requests than may be in flight
+        await self._wait_for_slot()
+        self._requests_without_slot -= 1
+        self.has_last_request = self.has_last_request or not message.keep_alive
+        slot = _ResponseSlot(self.has_last_request)
+        self.slots.append(slot)
+        self._jobs.append((message, arrived_ns, slot))
+        if self._is_answerer_idle:
+            self._is_answerer_idle = False
+            self._has_job.set()
+        else:
+            group.start_soon(self._answer_next)
+
+    def _parse(self, data: bytes) -> tuple[list[Message], InvalidMessage | None]:
+        """The messages that these bytes complete, and why the one after them is invalid."""
         try:
             return self.reader.feed(data), None
         except InvalidMessageError as error:
-            return self.reader.completed, error
+            return self.reader.completed, error.reason
 
     async def _receive(self) -> _Received:
         """The next bytes, starting with those that were read ahead."""
@@ -272,10 +292,18 @@
             self._is_answerer_idle = True
             await self._has_job.wait()
             self._has_job = anyio.Event()
-            assert self._job is not None
-            message, arrived_ns, slot = self._job
-            self._job = None  # the message refers to this connection: a reference cycle
-            await self._answer(message, arrived_ns, slot)
+            await self._answer_next()
+
+    async def _answer_next(self) -> None:
+        """Answers the request that was started first.
+
+        A task group of anyio leaves the exception of a cancelled task in a reference cycle. Without
+        a traceback the exception does not refer to the frames that hold the request.
+        """
+        try:
+            await self._answer(*self._jobs.popleft())
+        except anyio.get_cancelled_exc_class() as error:
+            raise error.with_traceback(None) from None
 
     async def _answer(self, message: Message, arrived_ns: int, slot: _ResponseSlot) -> None:
         try:
--- a/martenlead/events/http.py
+++ b/martenlead/events/http.py
@@ -22,12 +22,24 @@
 OK = HTTPStatus.OK.value  # First status that is not interim
 
 
+@dataclass(slots=True, frozen=True)
+class InvalidMessage:
+    """Why bytes are not a valid message; `status` is for the response to the peer."""
+
+    status: int
+    detail: str
+
+
 class InvalidMessageError(Exception):
-    """The bytes are not a valid message; `status` is for the response to the peer."""
+    """The bytes are not a valid message.
+
+    Keep its `reason` and not the error itself: the error's traceback refers to the frames that hold
+    the bytes, and so to whoever keeps the error there.
+    """
 
     def __init__(self, status: int, detail: str) -> None:
         super().__init__(detail)
-        self.status, self.detail = status, detail
+        self.reason = InvalidMessage(status, detail)
 
 
 @dataclass(slots=True, frozen=True)
@@ -73,7 +85,10 @@
 
 
 class Reader:
-    """Parses one direction of a connection; after an error it accepts no more bytes."""
+    """Parses one direction of a connection; after an error it accepts no more bytes.
+
+    It and its parser refer to each other: `close` releases both, with what was received.
+    """
 
     def __init__(self, limits: MessageLimits, *, requests: bool) -> None:
         self.limits = limits
@@ -85,7 +100,7 @@
         self._body_bytes = 0
         self._chunks: list[bytes] = []
         self._message = Message()
-        self._error: InvalidMessageError | None = None
+        self._error: InvalidMessage | None = None
         parser_type = httptools.HttpRequestParser if requests else httptools.HttpResponseParser
         self._parser: Any = parser_type(self)  # `Any`: httptools has no types
 
@@ -96,31 +111,41 @@
             InvalidMessageError: The bytes are not HTTP/1.1, or exceed the limits. The messages that
                 were complete before are in `completed`.
         """
-        if self._error:
-            raise self._error
+        self._raise_error()
         self.completed = []
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._error = InvalidMessageError(501, "upgrades are not offered here")
+            self._error = InvalidMessage(501, "upgrades are not offered here")
         except httptools.HttpParserCallbackError:
-            self._error = self._error or InvalidMessageError(400, "the message could not be read")
+            self._error = self._error or InvalidMessage(400, "the message could not be read")
         except httptools.HttpParserError as error:
-            self._error = self._error or InvalidMessageError(400, f"not HTTP/1.1: {error}")
+            self._error = self._error or InvalidMessage(400, f"not HTTP/1.1: {error}")
         if not self._error and self.in_head:
             self._head_bytes += len(data)
             limit = self.limits.head_bytes
             if self._head_bytes > limit:
-                self._error = InvalidMessageError(431, f"the header is over {limit} bytes")
-        if self._error:
-            raise self._error
-        return self.completed
+                self._error = InvalidMessage(431, f"the header is over {limit} bytes")
+        self._raise_error()
+        messages, self.completed = self.completed, []
+        return messages
+
+    def close(self) -> None:
+        """Drops what was received and the parser; accepts no more bytes."""
+        self._error = self._error or InvalidMessage(400, "the connection has ended")
+        self._parser = None
+        self._message = Message()
+        self._chunks = []
+        self.completed = []
+
+    def _raise_error(self) -> None:
+        if self._error is not None:
+            raise InvalidMessageError(self._error.status, self._error.detail)
 
     def _stop(self, status: int, detail: str) -> NoReturn:
         """Records an error unless one is recorded already, and raises it to stop the parser."""
-        error = InvalidMessageError(status, detail)
-        self._error = self._error or error
-        raise error
+        self._error = self._error or InvalidMessage(status, detail)
+        raise InvalidMessageError(status, detail)
 
     # -- callbacks of the parser
 
@@ -200,6 +225,7 @@
         """A message is complete; interim responses are skipped."""
         message = self._message
         message.body = b"".join(self._chunks)
+        self._message = Message()
         self._chunks = []
         self.in_head = self.in_message = self.expects_continue = False
         if not self.requests and CONTINUE <= message.status < OK:
--- a/tests/test_cloudevent.py
+++ b/tests/test_cloudevent.py
@@ -164,7 +164,7 @@
         try:
             reader.feed(data)
         except InvalidMessageError as error:
-            assert 400 <= error.status < 600
+            assert 400 <= error.reason.status < 600
             with pytest.raises(InvalidMessageError):
                 reader.feed(b"x")
 
