A worker's answer without a body is invalid and not served as empty

Cause: worker_protocol._Line decoded an absent `raw` as an empty one, and unknown fields are allowed, so that noise in the name of the field left a valid DONE with an empty body. An absent `txn` was decoded as an empty id: the answer was ignored and its request waited for its time-out.

Evidence: of all values of each byte outside the body of one line, those in the name `raw` decoded with another body; now none does.

Change: the codec tells an absent body from an empty one and requires the id. UpstreamConnection takes a success of an attempt without a body for an invalid line, which closes the connection; its calls may have run. Load requests need no body, and an empty body is passed on (PROTOCOL.md: "A body may be empty").

Tests: no_wrong_byte_outside_the_body_changes_the_body, and the cases `no body` and `no id` of test_node failed before; an_empty_body_is_passed_on guards the other side.

--- a/martenlead/node/outstanding_call.py
+++ b/martenlead/node/outstanding_call.py
@@ -61,6 +61,11 @@
         self.connection: CallConnection | None = None
         self.written_ns = 0
 
+    @property
+    def is_attempt(self) -> bool:
+        """Whether it is an attempt, and not a load request."""
+        return self.request is not None
+
     def is_outstanding(self) -> bool:
         """Whether the call has no outcome yet."""
         connection = self.connection
--- a/martenlead/node/upstream_connection.py
+++ b/martenlead/node/upstream_connection.py
@@ -213,13 +213,17 @@
             self.close()
 
     def _handle_response(self, response: WorkerResponse) -> None:
-        call = self.outstanding_calls.pop(response.call_id, None)
+        """Ends the call of a response; raises InvalidLineError if it cannot be its response."""
+        call = self.outstanding_calls.get(response.call_id)
         if call is None:  # cancelled, or never sent
             self.cancelled_ids.discard(response.call_id)
             return
         result = RESULT_BY_WORD.get(response.word, Result.ERROR)
         warmth = WARMTH_BY_NOTE.get(response.note, Warmth.UNKNOWN)
         body = response.body_base64 if result is Result.SUCCEEDED else None
+        if result is Result.SUCCEEDED and body is None and call.is_attempt:
+            raise InvalidLineError([], "attempt succeeded without a body")
+        del self.outstanding_calls[response.call_id]
         if not self.outstanding_calls:
             self._note_idle()
         call.on_outcome(
--- a/martenlead/node/worker_protocol.py
+++ b/martenlead/node/worker_protocol.py
@@ -92,20 +92,23 @@
 
 class _Line(msgspec.Struct):
     word: str = msgspec.field(name="m")
-    txn: str | int = ""
+    txn: str | int
     props: _Props = msgspec.field(default_factory=_Props)
-    raw: str = ""
+    raw: str | msgspec.UnsetType = msgspec.UNSET
 
 
 @dataclass(slots=True)
 class WorkerResponse:
-    """The response to the call `call_id`: its word and note, the loaded replicas, and the body."""
+    """The response to the call `call_id`: its word and note, the loaded replicas, and the body.
+
+    A body may be empty; `body_base64` is None if the line has none.
+    """
 
     word: str
     call_id: str
     note: str
     replicas: int
-    body_base64: str
+    body_base64: str | None
 
 
 _decode_line = msgspec.json.Decoder(_Line).decode
@@ -130,10 +133,11 @@
         raise InvalidLineError([], str(error)[:200]) from None
     if decoded.word not in RESULT_BY_WORD and decoded.word != FIT_WORD:
         raise InvalidLineError([], "unknown response word")
-    if not is_base64(decoded.raw, body_bytes_limit):
+    body_base64 = None if decoded.raw is msgspec.UNSET else decoded.raw
+    if body_base64 is not None and not is_base64(body_base64, body_bytes_limit):
         raise InvalidLineError([], "body is not base64 or too long")
     return WorkerResponse(
-        decoded.word, str(decoded.txn), decoded.props.why, max(0, replicas), decoded.raw
+        decoded.word, str(decoded.txn), decoded.props.why, max(0, replicas), body_base64
     )
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -79,6 +79,16 @@
     ),
     "an unknown word": (send_bytes(answer("TELL", "%TXN%")), {"unsafe": (1, "error -32000")}),
     "bad base64": (send_bytes(answer("DONE", "%TXN%", raw="a=b")), {"unsafe": (1, "error -32000")}),
+    # Guards against a spoilt answer that is passed on as served with an empty body
+    "no body": (
+        send_bytes(b'{"m":"DONE","txn":"%TXN%","props":{"why":"resident"},"rbw":"YQ=="}\n'),
+        {"safe": (2, "satisfied"), "unsafe": (1, "error -32000")},
+    ),
+    # Guards against a request that waits for its deadline after a spoilt answer
+    "no id": (
+        send_bytes(b'{"m":"DONE","tyn":"%TXN%","raw":"YQ=="}\n'),
+        {"safe": (2, "satisfied"), "unsafe": (1, "error -32000")},
+    ),
     "cut short": (send_bytes(b'{"m":"DONE","txn":"%TXN%"', end=True), {"unsafe": (1, "error -32000")}),
     "no JSON object": (send_bytes(b"[1]\n"), {"unsafe": (1, "error -32000")}),
     "an infinite number": (
@@ -108,6 +118,14 @@
             assert (method, len(rig.received())) == (method, attempts)
 
 
+async def test_an_empty_body_is_passed_on(tmp_path: Path) -> None:
+    """A body may be empty; only an answer without one is invalid."""
+    async with run_node(tmp_path, {"a": [send_bytes(answer("DONE", "%TXN%", raw=""))]}) as rig:
+        client = await rig.connect_client()
+        await client.send_request()
+        assert (await client.receive_response() or {})["result"] == {"blob": ""}
+
+
 async def test_an_attempt_at_a_silent_worker_is_cancelled_in_time_and_its_connection_not_reused(
     tmp_path: Path,
 ) -> None:
--- a/tests/test_node_codecs.py
+++ b/tests/test_node_codecs.py
@@ -90,6 +90,23 @@
         worker_protocol.parse_response(data, 100)
 
 
+def test_no_wrong_byte_outside_the_body_changes_the_body() -> None:
+    """Guards against a spoilt answer that is passed on with a body that no worker made."""
+    body = b"Ym9keQ=="
+    line = b'{"m":"DONE","txn":"9b1f03aa5c7e2d41","props":{"why":"resident"},"raw":"%b"}' % body
+    start, decoded = line.index(body), 0
+    for position in [*range(start), *range(start + len(body), len(line))]:
+        for byte in range(256):
+            spoilt = line[:position] + bytes([byte]) + line[position + 1 :]
+            try:
+                response = worker_protocol.parse_response(spoilt, 100)
+            except worker_protocol.InvalidLineError:
+                continue
+            assert response.body_base64 in (body.decode(), None), spoilt
+            decoded += 1
+    assert decoded  # as the line itself, and noise in the note, the id or names without effect
+
+
 def test_fields_of_responses_may_be_strings_or_numbers() -> None:
     response = worker_protocol.parse_response(b'{"m":"DONE","txn":7,"props":{"instances":2}}', 100)
     assert (response.call_id, response.replicas) == ("7", 2)
