Node: responding and encoding an attempt are functions of their own

Change: both are functions with their inputs as parameters, bound by functools.partial; no behaviour changes.

--- a/martenlead/node/request_handler.py
+++ b/martenlead/node/request_handler.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Collection
+from functools import partial
 
 from martenlead.edge.dispatcher import Dispatcher
 from martenlead.edge.records import FinalOutcome, IncomingRequest, PendingRequest
@@ -135,40 +136,40 @@
         arrived_ns: int,
         is_cancelled: bool,
     ) -> None:
-        number, size_bytes, request_id = call.number, len(call.body_base64), call.request_id
+        number, size_bytes = call.number, len(call.body_base64)
         assert number is not None
         self._check(connection, call, number)
         if is_cancelled:
-            self._finish(request_id)
+            self._finish(call.request_id)
             return
         if self._is_full(connection, size_bytes, now_ns):
             self._reject(connection, number)
             return
-        dispatcher = self.dispatcher
-
-        def respond(request: PendingRequest) -> None:
-            """Writes the only response, whatever the outcome."""
-            connection.open_requests.pop(number, None)
-            connection.counted_until_ns.append(dispatcher.clock() + RESPONSE_TRANSIT_NS)
-            self._finish(request_id)
-            connection.respond(number, _encode_outcome(number, request))
-            closing = connection.graceful_close
-            if closing is not None:  # in the next loop iteration: a decision may be in progress
-                asyncio.get_running_loop().call_soon(closing.close_if_finished)
-            # Releases the bodies now: a request and its attempts refer to each other, so they stay
-            # in memory until they are garbage-collected. For the same reason this function must
-            # not refer to `call`.
-            request.content = request.response = None
-            dispatcher.defer(dispatcher.close, request)
-
+        # It refers to the numbers alone: a reference to `call` would keep the body in memory.
+        on_outcome = partial(self._respond, connection, number)
         incoming = _read_incoming(call)
         # The outcome may be set before `accept` returns.
-        request = dispatcher.accept(
-            incoming, arrived_ns, call, size_bytes, on_outcome=respond, client=connection
+        request = self.dispatcher.accept(
+            incoming, arrived_ns, call, size_bytes, on_outcome=on_outcome, client=connection
         )
         if request.outcome is None:
             connection.open_requests[number] = request
-            self.open_requests[request_id] = request
+            self.open_requests[call.request_id] = request
+
+    def _respond(self, connection: ClientConnection, number: int, request: PendingRequest) -> None:
+        """Writes the only response to a request that has its outcome."""
+        dispatcher = self.dispatcher
+        connection.open_requests.pop(number, None)
+        connection.counted_until_ns.append(dispatcher.clock() + RESPONSE_TRANSIT_NS)
+        self._finish(request.incoming.id)
+        connection.respond(number, _encode_outcome(number, request))
+        closing = connection.graceful_close
+        if closing is not None:  # in the next loop iteration: a decision may be in progress
+            asyncio.get_running_loop().call_soon(closing.close_if_finished)
+        # Releases the bodies now: a request and its attempts refer to each other, so they stay in
+        # memory until they are garbage-collected.
+        request.content = request.response = None
+        dispatcher.defer(dispatcher.close, request)
 
     def _check(self, connection: ClientConnection, call: Call, number: int) -> None:
         """Raises InvalidCallError for an unknown method or tenant, or a reused number or id."""
--- a/martenlead/node/worker_client.py
+++ b/martenlead/node/worker_client.py
@@ -12,13 +12,19 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 import anyio
 from anyio.abc import TaskGroup
 
 from martenlead.edge.cancellation import UnreadInput
 from martenlead.edge.dispatcher import Dispatcher
-from martenlead.edge.records import FunctionEntry, InFlightAttempt, UpstreamWorker
+from martenlead.edge.records import (
+    FunctionEntry,
+    InFlightAttempt,
+    PendingRequest,
+    UpstreamWorker,
+)
 from martenlead.edge.timeouts import time_limit
 from martenlead.node.call_timeouts import CallTimeouts
 from martenlead.node.client_protocol import Call
@@ -254,34 +260,14 @@
         if request.policy_request is not None:
             deadline_ns = min(due_ns, request.policy_request.deadline_ns)
 
-        def encode_line(written_ns: int) -> bytes:
-            """Encodes the attempt with the time left when it is written.
-
-            It is not called once the request is over, which releases the content: an attempt that
-            was never written may stay in memory until it is garbage-collected.
-            """
-            call: Call = request.content
-            return encode_attempt(
-                call.request_id,
-                call.method,
-                call.function,
-                max(1, (deadline_ns - written_ns) // NS_PER_MS),
-                call.idempotency_key,
-                call.body_base64,
-            )
-
-        def report_outcome(outcome: UpstreamOutcome) -> None:
-            """Reports the only outcome of this attempt."""
-            self.dispatcher.attempt_ended(attempt, outcome)
-
         outstanding = attempt.link_handle = OutstandingCall(
             call.request_id,
             attempt.worker,
             request,
             due_ns,
             now_ns + self.latency_objectives_ns.get(call.method, 0),
-            encode_line,
-            report_outcome,
+            partial(_encode_attempt, request, deadline_ns),
+            partial(self.dispatcher.attempt_ended, attempt),
             decision.begin_by_ns,
         )
         self._send(outstanding, call.used_connections)
@@ -361,3 +347,20 @@
         may_have_run = connection.cancel(call)
         result = Result.NO_RESPONSE if may_have_run else unwritten_result
         call.on_outcome(UpstreamOutcome(result, reason="no answer in time"))
+
+
+def _encode_attempt(request: PendingRequest, deadline_ns: int, written_ns: int) -> bytes:
+    """Encodes an attempt with the time left when it is written.
+
+    Reads the content from the request, which releases it with its outcome: an attempt that was
+    never written may stay in memory until it is garbage-collected. None is written after that.
+    """
+    call: Call = request.content
+    return encode_attempt(
+        call.request_id,
+        call.method,
+        call.function,
+        max(1, (deadline_ns - written_ns) // NS_PER_MS),
+        call.idempotency_key,
+        call.body_base64,
+    )
