Three leftovers: a repeated constant, a field nobody reads, a broken benchmark

Change: capture/suspension uses DEADLINE_MARGIN_TICKS in place of a copy of it; the stand-in worker loses duplicate_share, which was set and never read; benchmarks/planner.py reads the recorder's functions where it read a field that does not exist.

--- a/benchmarks/planner.py
+++ b/benchmarks/planner.py
@@ -149,7 +149,8 @@
 async def _again(port: int, run_planned_edge: Any, until: Any) -> int:
     async with run_planned_edge([port]) as (_f, side):
         began = perf_counter()
-        await until(lambda: any(c.is_retained for m in side.tape.models for c in m.replicas.values()))
+        functions = side.recorder.functions_by_number
+        await until(lambda: any(r.is_retained for f in functions for r in f.replicas.values()))
         return int((perf_counter() - began) * 1000)
 
 
--- a/martenlead/capture/suspension.py
+++ b/martenlead/capture/suspension.py
@@ -19,7 +19,7 @@
 from functools import cache
 from typing import Any
 
-from martenlead.policy.attempts import MARGIN_SHARE, Attempts
+from martenlead.policy.attempts import DEADLINE_MARGIN_TICKS, MARGIN_SHARE, Attempts
 from martenlead.policy.engine import Process
 from martenlead.policy.policy import Policy
 from martenlead.policy.replica_scaling import ReplicaScaling
@@ -31,7 +31,6 @@
 ALL_ATTEMPTS = "all"
 FIRST_CHECK = "first"
 NEXT_CHECK = "period"
-TICK_PART = 3  # ticks between `last_ns` and the deadline, as in policy/attempts.py
 
 
 class CheckpointError(Exception):
@@ -167,7 +166,7 @@
         # early enough before the deadline that the tick is not limited to a share of the time left
         left_ns = request.deadline_ns - last_ns
         policy.state.now_ns = last_ns - round((left_ns + 1) / MARGIN_SHARE)
-        policy.settings.tick_ns = left_ns // TICK_PART
+        policy.settings.tick_ns = left_ns // DEADLINE_MARGIN_TICKS
         policy.settings.attempt_limit = len(attempts) + waits_for_all
         request.attempts = []
         for attempt in attempts if waits_for_all else attempts[:-1]:
--- a/martenlead/standins/runner.py
+++ b/martenlead/standins/runner.py
@@ -67,7 +67,7 @@
         self.host, self.write_record = host, host.write_record
         self.incarnation = 0
         self.load_ended: dict[FunctionReplicas, anyio.Event] = {}  # set at the end of a load
-        self.lost_share = self.garbage_share = self.duplicate_share = 0.0
+        self.lost_share = self.garbage_share = 0.0
         self.is_unresponsive = False
         self.reports: deque[tuple[int, str]] = deque(maxlen=10_000)  # the first one is sent
         self.report_delay_ns = 0
@@ -86,7 +86,7 @@
     async def start(self) -> None:
         """Starts a new incarnation: cold and empty."""
         self.incarnation += 1
-        self.lost_share = self.garbage_share = self.duplicate_share = 0.0
+        self.lost_share = self.garbage_share = 0.0
         self.reset(self.write_record("up", runner=self.settings.name, life=self.incarnation))
         self.host.group.start_soon(self.serve)
         self.host.group.start_soon(self.unload_idle_loop, self.incarnation)
