Review case 6: an answer's late second copy goes to other requests (takes the place of one)

The case that stood here shows what review/1 shows already, so it is dropped. Nothing of the program is changed. Workers and discovery are stand-ins.

--- a/review/peers_2.py
+++ b/review/peers_2.py
@@ -10,7 +10,6 @@
 import json
 import os
 import socket
-import struct
 import sys
 import tempfile
 import time
@@ -25,8 +24,7 @@
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 GONE = (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, OSError)
-# From deploy/balancer.toml; the edge has no line of its own there, and is started in the same form.
-RUN_LINE = "exec .venv/bin/python -m martenlead.node"
+# deploy/balancer.toml has no line for the edge: it is started in the form of `run`.
 EDGE_LINE = "exec .venv/bin/python -m martenlead edge"
 
 
@@ -90,18 +88,6 @@
             raise CouldNotRunError("the edge did not become ready")
         return process
 
-    async def start_node(self, config: dict[str, Any]) -> asyncio.subprocess.Process:
-        """Starts a node; `NodeClient.open_ready` waits until it answers."""
-        path = self.folder / "config.json"
-        path.write_text(json.dumps(config))
-        return await self.start(
-            RUN_LINE,
-            config["name"],
-            ROUTER_NAME=config["name"],
-            ROUTER_LISTEN=config["listen"],
-            ROUTER_CONFIG=str(path),
-        )
-
     async def end(self) -> None:
         """Ends all processes that the case started."""
         for process in self.processes:
@@ -186,6 +172,11 @@
         self, case: Case, name: str, work_s: Callable[[dict[str, str]], float], repeated: int = 1
     ) -> None:
         self.case, self.name, self.work_s, self.repeated = case, name, work_s, repeated
+        # how many bytes less a good answer's Content-Length says than its body has
+        self.missing_bytes: Callable[[dict[str, str], bytes], int] = lambda _event, _body: 0
+        # after how many seconds a second copy of a good answer is written, if at all
+        self.second_copy_s: Callable[[dict[str, str]], float | None] = lambda _event: None
+        self.copies: set[asyncio.Task[None]] = set()
         self.arrived: list[tuple[float, dict[str, str]]] = []
         self.port = 0
 
@@ -217,14 +208,25 @@
                         "content-type": "text/plain",
                         "martenlead-copy": "warm",
                     }
-                    writer.write(_http_response(200, fields, body * self.repeated))
+                    body *= self.repeated
+                    answer = _http_response(200, fields, body, self.missing_bytes(identity, body))
+                    writer.write(answer)
+                    after_s = self.second_copy_s(identity)
+                    if after_s is not None:
+                        self.copies.add(asyncio.create_task(self.write_again(writer, answer, after_s)))
                 await writer.drain()
         writer.close()
 
+    async def write_again(self, writer: asyncio.StreamWriter, answer: bytes, after_s: float) -> None:
+        """Writes a second copy of an answer."""
+        await asyncio.sleep(after_s)
+        with suppress(*GONE):
+            writer.write(answer)
+
 
-def _http_response(status: int, headers: dict[str, str], body: bytes) -> bytes:
+def _http_response(status: int, headers: dict[str, str], body: bytes, missing: int = 0) -> bytes:
     lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-    return f"HTTP/1.1 {status} OK\r\n{lines}content-length: {len(body)}\r\n\r\n".encode() + body
+    return f"HTTP/1.1 {status} OK\r\n{lines}content-length: {len(body) - missing}\r\n\r\n".encode() + body
 
 
 class Roster:
@@ -277,201 +279,3 @@
                 except TimeoutError:
                     send({"version": sent})
         writer.close()
-
-
-# -- the node's peers: the platform's protocol
-
-
-def node_settings() -> dict[str, Any]:
-    """Settings with the figures of the deployment `savannah-hardship`."""
-    return {
-        "balancers": 1,
-        "granularity": 0.004,
-        "azs": ["east-wing"],
-        "skus": ["std-2c"],
-        "weights": "nominal",
-        "allowed": {
-            "attempts-cap": 5,
-            "cancel": True,
-            "may-duplicate": True,
-            "retry-after": True,
-            "max-retry-after": 2.0,
-            "connect-timeout": 0.25,
-            "conn-idle": 30.0,
-            "streams-per-conn": 32,
-        },
-        "rules": {"cold-from": 0.18, "cold": 14.0, "fall-multiple": 2.5, "fall": 3.0, "drain-grace": 2.0},
-        "family-info": {
-            "if-cold": "load",
-            "kind-memory-mb": [50_000],
-            "linger-idle": 10.0,
-            "tells-warm": True,
-            "placement-calls": True,
-            "load-period": 10.0,
-            "loads-anyway": 2,
-            "loads-per-request": 0.3,
-            "order-limit": 10.0,
-        },
-        "orgs": [{"name": "hardship", "quota-per-s": 200.0}],
-        "classes": [{"name": "eligibility-check", "effect": "read_like", "on-time": 0.75, "give-up": 5.0}],
-    }
-
-
-def node_config(port: int, journal_port: int, runners: dict[int, int]) -> dict[str, Any]:
-    """The configuration of a node; `runners` has the port of each runner by its number."""
-    members = [
-        {
-            "id": f"s-{number:08x}",
-            "host_port": f"{HOST}:{runner_port}",
-            "locality": "east-wing",
-            "flavor": "std-2c",
-            "cell": 0,
-            "phase": "in_service",
-            "size": 1,
-            "up_since_ms": 0,
-        }
-        for number, runner_port in runners.items()
-    ]
-    hosts = {"revision": 1, "complete": True, "members": members}
-    return {
-        "name": "n0",
-        "listen": f"{HOST}:{port}",
-        "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        "journal": f"{HOST}:{journal_port}",
-        "known": {"pos": 1, "entries": [{"pos": 1, "hosts": hosts}]},
-        "settings": node_settings(),
-    }
-
-
-class Runner:
-    """A runner on the platform's protocol: runs each request for a fixed time, and has copies at once.
-
-    One that drains turns requests and orders away (`WAIT`).
-    """
-
-    def __init__(self, case: Case, number: int, work_s: float) -> None:
-        self.case, self.number, self.work_s = case, number, work_s
-        self.arrived: list[tuple[float, str]] = []
-        self.drains = False
-
-    async def start(self) -> None:
-        """Listens on a free port."""
-        self.server = await asyncio.start_server(self.serve, HOST, 0, limit=1 << 20)
-        self.port = int(self.server.sockets[0].getsockname()[1])
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Serves one connection until it ends."""
-        running = set()
-        with suppress(*GONE):
-            while line := await reader.readline():
-                message = json.loads(line)
-                if message["m"] in ("DO", "PIN"):
-                    at = self.case.note("arrived", runner=self.number, m=message["m"], txn=message["txn"])
-                    self.arrived.append((at, message["m"]))
-                    running.add(asyncio.create_task(self.answer(message, writer)))
-        writer.close()
-
-    async def answer(self, message: dict[str, Any], writer: asyncio.StreamWriter) -> None:
-        """Answers a request or an order."""
-        if self.drains:
-            answer = {"m": "WAIT", "txn": message["txn"], "props": {}}
-        elif message["m"] == "DO":
-            await asyncio.sleep(self.work_s)
-            props = {"why": "resident"}
-            answer = {"m": "DONE", "txn": message["txn"], "props": props, "raw": message["raw"]}
-        else:
-            answer = {"m": "DONE", "txn": message["txn"], "props": {"instances": 1}}
-        with suppress(*GONE):
-            writer.write(json.dumps(answer).encode() + b"\n")
-
-
-DRAINING = 1  # a state of the journal's records
-
-
-class Journal:
-    """The journal service; `late_s` is how long a new connection waits for its first frame."""
-
-    def __init__(self, case: Case, late_s: float = 0.0) -> None:
-        self.case, self.late_s = case, late_s
-        self.frames: list[bytes] = []  # events from number 2 on; number 1 is `known`
-        self.changed = asyncio.Event()
-
-    async def start(self) -> None:
-        """Listens on a free port."""
-        self.server = await asyncio.start_server(self.serve, HOST, 0)
-        self.port = int(self.server.sockets[0].getsockname()[1])
-
-    def tell(self, number: int, port: int, state: int) -> float:
-        """Adds an event with one record; returns when it was in the journal service."""
-        event = len(self.frames) + 2
-        record = struct.pack(">I4sHBBBHIQ", number, socket.inet_aton(HOST), port, state, 0, 0, 0, 1000, 0)
-        self.frames.append(struct.pack(">IQB", 9 + len(record), event, 2) + record)
-        self.changed.set()
-        self.changed = asyncio.Event()
-        return self.case.note("in the journal", runner=number, state=state, event=event)
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Sends all events after the number that was asked for, and an empty frame each second."""
-        with suppress(*GONE):
-            last = int.from_bytes(await reader.readexactly(8), "big")
-            self.case.note("journal asked", after=last)
-            await asyncio.sleep(self.late_s)
-            while True:
-                changed = self.changed
-                while last - 1 < len(self.frames):
-                    writer.write(self.frames[last - 1])
-                    last += 1
-                    self.case.note("journal sent", event=last)
-                await writer.drain()
-                try:
-                    await asyncio.wait_for(changed.wait(), 1.0)
-                except TimeoutError:
-                    writer.write(struct.pack(">IQB", 9, last, 0))
-                    await writer.drain()
-        self.case.note("journal connection ended")
-        writer.close()
-
-
-class NodeClient:
-    """One client connection to a node."""
-
-    def __init__(self, case: Case, port: int) -> None:
-        self.case, self.port = case, port
-        self.last_number = 0
-        self.waiting: dict[int, asyncio.Future[dict[str, Any] | None]] = {}
-
-    async def open_ready(self, seconds: float = 30) -> None:
-        """Connects, and returns once the node has answered a ping with `"up":true`."""
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            with suppress(OSError, TimeoutError):
-                self.reader, self.writer = await asyncio.open_connection(HOST, self.port)
-                self.reading = asyncio.create_task(self.read())
-                answer = await asyncio.wait_for(self.send("ping", {}), 2)
-                if answer is not None and answer["result"]["up"]:
-                    return
-            await asyncio.sleep(0.1)
-        raise CouldNotRunError("the node did not become ready")
-
-    def send(self, method: str, params: dict[str, Any]) -> asyncio.Future[dict[str, Any] | None]:
-        """Sends a message; the result is its answer, or None where the connection ended first."""
-        self.last_number += 1
-        message = {"jsonrpc": "2.0", "id": self.last_number, "method": method, "params": params}
-        body = json.dumps(message).encode()
-        answer = self.waiting[self.last_number] = asyncio.get_running_loop().create_future()
-        self.writer.write(b"Content-Length: %d\r\n\r\n%b" % (len(body), body))
-        return answer
-
-    async def read(self) -> None:
-        """Reads answers until the connection ends."""
-        with suppress(*GONE):
-            while True:
-                head = await self.reader.readuntil(b"\r\n\r\n")
-                message = json.loads(await self.reader.readexactly(int(head.split(b":")[1])))
-                answer = self.waiting.pop(message["id"], None)
-                if answer is not None and not answer.done():
-                    answer.set_result(message)
-        for answer in self.waiting.values():
-            if not answer.done():
-                answer.set_result(None)
