--- a/review/10/play.py
+++ b/review/10/play.py
@@ -83,6 +83,7 @@
         case.note("memory", mb=round(most_mb), sent_by_bad_clients=sum(one.sent_bytes for one in bad))
         if most_mb > MEMORY_MB:
             edge.kill()
+            await edge.wait()
             broken = f"the edge had {most_mb:.0f} MB and was ended by the platform"
         elif edge.returncode is not None:
             broken = f"the edge ended with status {edge.returncode} at {most_mb:.0f} MB"
