Trailers and other parts without an end are bounded where HTTP is read

Cause: events/http.Reader checked its limits when a head was complete. The parser reports trailer fields by the callback of header fields, and they were added to Message.headers uncounted; a trailer field without an end grew inside the parser. Bodies were kept as one object a chunk, and a head was charged with the pipelined requests before it in its read, which could give 431 for a short head.

Change: trailer fields are dropped (RFC 9110, 6.5.1) and count with the header towards head_bytes and header_lines; what neither completes a head nor adds to a body is bounded by head_bytes; a body is one buffer.

The test of idle connections reads the new name of the body's field and asks the same of it.

--- a/martenlead/events/http.py
+++ b/martenlead/events/http.py
@@ -44,7 +44,11 @@
 
 @dataclass(slots=True, frozen=True)
 class MessageLimits:
-    """Size limits of a message; a larger one gets 431 or 413 and ends its connection."""
+    """Size limits of a message; a larger one gets 431 or 413 and ends its connection.
+
+    `head_bytes` and `header_lines` cover the header and the trailer together. `head_bytes` also
+    limits the bytes that are received without completing the head or adding to the body.
+    """
 
     head_bytes: int = 16 * 1024
     body_bytes: int = 1024 * 1024
@@ -87,6 +91,9 @@
 class Reader:
     """Parses one direction of a connection; after an error it accepts no more bytes.
 
+    Trailer fields count towards the limits and are dropped: RFC 9110, section 6.5.1, forbids to
+    merge them into the header, and nothing here is defined as a trailer.
+
     It and its parser refer to each other: `close` releases both, with what was received.
     """
 
@@ -96,9 +103,12 @@
         self.completed: list[Message] = []
         self.expects_continue = False  # the peer waits for `100 Continue` before it sends the body
         self.in_head = self.in_message = False
-        self._head_bytes = 0
-        self._body_bytes = 0
-        self._chunks: list[bytes] = []
+        self._field_bytes = 0  # names and values of the header and the trailer
+        self._trailer_lines = 0
+        # Received since the message began, its head was complete or its body last grew
+        self._bytes_without_progress = 0
+        self._has_progressed = False  # during the current call of `feed`
+        self._body = bytearray()
         self._message = Message()
         self._error: InvalidMessage | None = None
         parser_type = httptools.HttpRequestParser if requests else httptools.HttpResponseParser
@@ -113,6 +123,7 @@
         """
         self._raise_error()
         self.completed = []
+        self._has_progressed = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -121,11 +132,8 @@
             self._error = self._error or InvalidMessage(400, "the message could not be read")
         except httptools.HttpParserError as error:
             self._error = self._error or InvalidMessage(400, f"not HTTP/1.1: {error}")
-        if not self._error and self.in_head:
-            self._head_bytes += len(data)
-            limit = self.limits.head_bytes
-            if self._head_bytes > limit:
-                self._error = InvalidMessage(431, f"the header is over {limit} bytes")
+        if not self._error and self.in_message and not self._has_progressed:
+            self._error = self._count_bytes_without_progress(len(data))
         self._raise_error()
         messages, self.completed = self.completed, []
         return messages
@@ -135,9 +143,22 @@
         self._error = self._error or InvalidMessage(400, "the connection has ended")
         self._parser = None
         self._message = Message()
-        self._chunks = []
+        self._body = bytearray()
         self.completed = []
 
+    def _count_bytes_without_progress(self, received: int) -> InvalidMessage | None:
+        """Bounds what the parser holds of an incomplete target, field or chunk size."""
+        self._bytes_without_progress += received
+        limit = self.limits.head_bytes
+        if self._bytes_without_progress <= limit:
+            return None
+        section = "header" if self.in_head else "trailer or a chunk size"
+        return InvalidMessage(431, f"the {section} is over {limit} bytes")
+
+    def _note_progress(self) -> None:
+        self._has_progressed = True
+        self._bytes_without_progress = 0
+
     def _raise_error(self) -> None:
         if self._error is not None:
             raise InvalidMessageError(self._error.status, self._error.detail)
@@ -152,8 +173,7 @@
     def on_message_begin(self) -> None:
         """A message begins."""
         self._message = Message()
-        self._head_bytes = self._body_bytes = 0
-        self._chunks = []
+        self._trailer_lines = self._bytes_without_progress = 0
         self.in_head = self.in_message = True
         self.expects_continue = False
 
@@ -166,13 +186,29 @@
         self._message.status = self._parser.get_status_code()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """A header."""
-        self._message.headers.append((name.lower(), value))
+        """A field of the header, or of the trailer, which is dropped."""
+        if not self.in_head:
+            self._count_trailer_field(len(name) + len(value))
+            return
+        headers = self._message.headers
+        headers.append((name.lower(), value))
+        if len(headers) > self.limits.header_lines:
+            self._stop(431, f"the header is over {self.limits.header_lines} lines")
+
+    def _count_trailer_field(self, field_bytes: int) -> None:
+        limits = self.limits
+        self._field_bytes += field_bytes
+        self._trailer_lines += 1
+        lines = len(self._message.headers) + self._trailer_lines
+        if self._field_bytes > limits.head_bytes or lines > limits.header_lines:
+            sizes = f"{limits.head_bytes} bytes or {limits.header_lines} lines"
+            self._stop(431, f"the header and the trailer are over {sizes}")
 
     def on_headers_complete(self) -> None:  # noqa: C901 - one pass keeps the cost per message low
         """The head is complete; checks all of it."""
         message, parser, limits = self._message, self._parser, self.limits
         self.in_head = False
+        self._note_progress()
         version = parser.get_http_version()
         if version != "1.1":
             self._stop(505, f"HTTP/{version} is not spoken here; HTTP/1.1 is")
@@ -185,9 +221,9 @@
                 if name in framing:
                     self._stop(400, f"{name.decode()} is told twice")
                 framing[name] = value
-        if size > limits.head_bytes or len(headers) > limits.header_lines:
-            detail = f"the header is over {limits.head_bytes} bytes or {limits.header_lines} lines"
-            self._stop(431, detail)
+        self._field_bytes = size
+        if size > limits.head_bytes:
+            self._stop(431, f"the header is over {limits.head_bytes} bytes")
         if CONTROL_BYTES.search(b"".join([value for _, value in headers])):
             self._stop(400, "a header holds a control byte")
         coding, length = framing.get(b"transfer-encoding"), framing.get(b"content-length")
@@ -216,17 +252,18 @@
 
     def on_body(self, body: bytes) -> None:
         """A part of the body."""
-        self._body_bytes += len(body)
-        if self._body_bytes > self.limits.body_bytes:
+        self._note_progress()
+        if len(self._body) + len(body) > self.limits.body_bytes:
             self._stop(413, f"the body is over {self.limits.body_bytes} bytes")
-        self._chunks.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """A message is complete; interim responses are skipped."""
+        self._note_progress()
         message = self._message
-        message.body = b"".join(self._chunks)
+        message.body = bytes(self._body)
+        self._body.clear()
         self._message = Message()
-        self._chunks = []
         self.in_head = self.in_message = self.expects_continue = False
         if not self.requests and CONTINUE <= message.status < OK:
             return
--- a/tests/test_edge_released_memory.py
+++ b/tests/test_edge_released_memory.py
@@ -32,14 +32,12 @@
 pytestmark = pytest.mark.anyio
 
 REPETITIONS = 5
+CHUNKED_HEAD = b"POST / HTTP/1.1\r\nhost: e\r\ntransfer-encoding: chunked\r\n\r\n"
 BODY = b"A" * 90_000
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: 200000\r\n\r\n"
 TOO_LONG_HEAD = b"POST / HTTP/1.1\r\nx: " + b"A" * 30_000
-INVALID_CHUNK = (
-    b"POST / HTTP/1.1\r\nhost: e\r\ntransfer-encoding: chunked\r\n\r\n4000\r\n"
-    + b"A" * 16_384
-    + b"\r\nzz\r\n"
-)
+INVALID_CHUNK = CHUNKED_HEAD + b"4000\r\n" + b"A" * 16_384 + b"\r\nzz\r\n"
+TOO_LONG_TRAILER = CHUNKED_HEAD + b"0\r\n" + b"x: y\r\n" * 50_000
 
 
 @pytest.fixture(params=[False, True], ids=["asyncio", "uvloop"])
@@ -102,6 +100,9 @@
     async def send_invalid_chunk(self) -> None:
         await self._send_and_read(INVALID_CHUNK)
 
+    async def send_too_long_trailer(self) -> None:
+        await self._send_and_read(TOO_LONG_TRAILER)
+
     async def send_request(self) -> None:
         """Sends a request, and closes once a part of its response has come."""
         await self._send_and_read(self.encode_request())
@@ -149,6 +150,7 @@
         RawClient.send_too_long_head,
         RawClient.send_unframed_bytes,
         RawClient.send_invalid_chunk,
+        RawClient.send_too_long_trailer,
     ],
     ids=lambda step: step.__name__,
 )
@@ -203,6 +205,6 @@
         (connection,) = rig.event_listener.server.connections
         await until(lambda: not rig.dispatcher.pending_requests and not connection.slots)
         reader = connection.reader
-        assert (reader.completed, reader._message, reader._chunks) == ([], Message(), [])
+        assert (reader.completed, reader._message, reader._body) == ([], Message(), b"")
         await stream.aclose()
         rig.task_group.cancel_scope.cancel()
