A streamed list whose header, chunk size or trailer does not end is invalid

What was seen: a discovery service that sends a header, a chunk extension or trailer fields without an end keeps a watch alive for good, since each byte counts as a sign of life. No list comes, and the edge never asks anew.

Cause: read_lines bounds the length of a line, and nothing bounds what is no part of the body.

--- a/martenlead/events/client.py
+++ b/martenlead/events/client.py
@@ -24,6 +24,7 @@
 from martenlead.system.sockets import is_own_shortage
 
 SECOND_NS = 1_000_000_000
+MAX_BYTES_WITHOUT_BODY = 64 * 1024  # of a streamed response, and in a row
 CONNECTION_ERRORS = (
     anyio.EndOfStream,
     anyio.BrokenResourceError,
@@ -248,7 +249,8 @@
     Raises:
         OSError: The connection failed. A broken stream raises errors of anyio.
         TimeoutError: No connection was made, or no byte received, in `silence_timeout_seconds`.
-        InvalidMessageError: The status is not 200, or a line is longer than `max_line_bytes`.
+        InvalidMessageError: The status is not 200, a line is longer than `max_line_bytes`, or
+            `MAX_BYTES_WITHOUT_BODY` were received in a row that are no part of the body.
     """
     with anyio.fail_after(silence_timeout_seconds):
         stream = await anyio.connect_tcp(host, port)
@@ -284,6 +286,7 @@
         self.parts: list[bytes] = []
         self.status = 0  # 0 until the head is complete
         self.has_ended = False
+        self.bytes_without_body = 0  # received since the last part of the body
 
     def on_headers_complete(self) -> None:
         """The head is complete; called by the parser."""
@@ -305,4 +308,12 @@
             raise InvalidMessageError(502, f"not HTTP/1.1: {error}") from None
         body = b"".join(self.parts)
         self.parts.clear()
+        self._count_bytes_without_body(0 if body else len(data))
         return body
+
+    def _count_bytes_without_body(self, received: int) -> None:
+        """Bounds a head, a chunk size or a trailer that does not end."""
+        self.bytes_without_body = self.bytes_without_body + received if received else 0
+        if self.bytes_without_body > MAX_BYTES_WITHOUT_BODY:
+            reason = f"{self.bytes_without_body} bytes in a row are no part of the body"
+            raise InvalidMessageError(502, reason)
--- a/tests/test_message_limits.py
+++ b/tests/test_message_limits.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import tracemalloc
+from contextlib import aclosing, suppress
 from typing import Any
 
 import anyio
 import pytest
 
-from martenlead.events.client import ExchangeEnd, Pool
+from martenlead.events.client import ExchangeEnd, Pool, read_lines
 from martenlead.events.http import (
     InvalidMessageError,
     Message,
@@ -161,3 +162,29 @@
         assert pool.connections_opened == 1
         await pool.close()
         group.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("part", [*ENDLESS_PARTS, "a header"])
+async def test_a_streamed_list_whose_framing_does_not_end_is_invalid(part: str) -> None:
+    """Guards against a watch that bytes without a line keep alive for good."""
+    begin, repeated = ENDLESS_PARTS.get(part, (b"", b"x: y\r\n" * (READ_BYTES // 6)))
+    head = RESPONSE_HEAD[: -2 if part == "a header" else None]
+
+    async def serve(stream: Any) -> None:
+        async with stream:
+            await stream.receive()
+            await stream.send(head + begin)
+            with suppress(anyio.BrokenResourceError):
+                while True:
+                    await stream.send(repeated)
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    async with listener, anyio.create_task_group() as group:
+        group.start_soon(listener.serve, serve)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        stream = read_lines("127.0.0.1", port, b"-", silence_timeout_seconds=5, max_line_bytes=100)
+        with anyio.fail_after(5), pytest.raises(InvalidMessageError):
+            async with aclosing(stream):
+                await anext(stream)
+        group.cancel_scope.cancel()
