A response with anything but its duplicate behind it is not passed on

Cause: events/client.Pool took a response as a success as soon as the parser had one message, whatever followed in the same read. Bytes that are no HTTP gave an error that it had in its hands and left out; an `H` passed for the beginning of a response; and CR and LF are skipped by the parser, so that the connection was even used again.

RFC 9112, 6.3: such bytes may belong to the body before, "if the prior message's Content-Length value is incorrect".

Change: events/response.ResponseAssembler looks at what came behind a response, in its read and in the kernel by then. Nothing or a duplicate: passed on. Anything else ends the exchange as OVERRUN, a lost connection: the request may have run. It works since the whole surplus is looked at and not what the parser makes of it. Load requests, health checks, the layers and the command line use the same pool.

--- a/martenlead/events/client.py
+++ b/martenlead/events/client.py
@@ -21,9 +21,11 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 from martenlead.events.http import InvalidMessageError, Message, MessageLimits, Reader
+from martenlead.events.response import ResponseAssembler, Surplus
 from martenlead.system.sockets import is_own_shortage
 
 SECOND_NS = 1_000_000_000
+RECEIVE_BYTES = 1 << 20  # more than event loops read at once, so that none of it waits unseen
 MAX_BYTES_WITHOUT_BODY = 64 * 1024  # of a streamed response, and in a row
 CONNECTION_ERRORS = (
     anyio.EndOfStream,
@@ -45,6 +47,7 @@
     CLOSED = "the connection ended before the first byte of an answer"
     CUT = "the connection ended in the middle of an answer"
     GARBAGE = "what came back is no HTTP/1.1 answer, or is over the limits"
+    OVERRUN = "bytes came behind a whole answer: its length may be too small"
     ANSWERED = "a whole answer"
 
 
@@ -97,6 +100,13 @@
         except OSError:
             return True
 
+    def has_unread(self) -> bool:
+        """Whether bytes or its end can be read at once; false if the kernel does not say."""
+        try:
+            return bool(self.poll.poll(0))
+        except OSError:
+            return False
+
     def has_stray_bytes(self) -> bool:
         """Whether a stale connection has received bytes, and not only its end."""
         try:
@@ -206,7 +216,7 @@
         self, connection: _Connection, data: bytes | Callable[[], bytes], sending: SendProgress
     ) -> Exchange:
         """Sends one request on a connection and reads its response."""
-        stream, reader = connection.stream, connection.reader
+        stream, response = connection.stream, ResponseAssembler(connection.reader)
         has_received = False
         try:
             await anyio.lowlevel.checkpoint_if_cancelled()
@@ -214,23 +224,33 @@
                 return Exchange(ExchangeEnd.WITHHELD)
             sending.has_written = True
             await stream.send(data if isinstance(data, bytes) else data())
-            while True:
-                received = await stream.receive()
+            while response.message is None or self._may_have_surplus(connection, response):
+                received = await stream.receive(RECEIVE_BYTES)
                 has_received = True
-                completed = reader.feed(received)
-                if completed:
-                    if len(completed) > 1 or reader.in_message:
-                        # bytes after the first response belong to no request: the connection ends
-                        completed[0].keep_alive = False
-                    return Exchange(ExchangeEnd.ANSWERED, completed[0])
+                response.feed(received)
         except CONNECTION_ERRORS:
-            return Exchange(ExchangeEnd.CUT if has_received else ExchangeEnd.CLOSED)
+            if response.message is None:
+                return Exchange(ExchangeEnd.CUT if has_received else ExchangeEnd.CLOSED)
+            response.message.keep_alive = False
         except InvalidMessageError as error:
-            if reader.completed:
-                reader.completed[0].keep_alive = False
-                self.stray_responses += 1
-                return Exchange(ExchangeEnd.ANSWERED, reader.completed[0])
             return Exchange(ExchangeEnd.GARBAGE, detail=error.reason.detail)
+        return self._end_exchange(response)
+
+    @staticmethod
+    def _may_have_surplus(connection: _Connection, response: ResponseAssembler) -> bool:
+        return not response.is_decided and connection.has_unread()
+
+    def _end_exchange(self, response: ResponseAssembler) -> Exchange:
+        """The end of an exchange whose response is complete; only a sole one keeps a connection."""
+        message = response.message
+        surplus = response.classify_surplus()
+        if message is None or surplus is Surplus.NONE:
+            return Exchange(ExchangeEnd.ANSWERED, message)
+        self.stray_responses += 1
+        if surplus is Surplus.OTHER:
+            return Exchange(ExchangeEnd.OVERRUN, detail=response.detail)
+        message.keep_alive = False
+        return Exchange(ExchangeEnd.ANSWERED, message)
 
     async def close(self) -> None:
         """Closes the idle connections; running exchanges close the others."""
--- a/martenlead/events/http.py
+++ b/martenlead/events/http.py
@@ -113,6 +113,9 @@
         self._error: InvalidMessage | None = None
         parser_type = httptools.HttpRequestParser if requests else httptools.HttpResponseParser
         self._parser: Any = parser_type(self)  # `Any`: httptools has no types
+        if not requests:
+            # What follows a response with `Connection: close` is read, see `response.py`
+            self._parser.set_dangerous_leniencies(lenient_keep_alive=True)
 
     def feed(self, data: bytes) -> list[Message]:
         """The messages that these bytes complete, oldest first.
@@ -138,6 +141,15 @@
         messages, self.completed = self.completed, []
         return messages
 
+    def has_begun_like(self, message: Message) -> bool:
+        """Whether the incomplete message has the head of `message`, and how its body begins."""
+        partial = self._message
+        return (
+            not self.in_head
+            and (partial.status, partial.headers) == (message.status, message.headers)
+            and message.body.startswith(bytes(self._body))
+        )
+
     def close(self) -> None:
         """Drops what was received and the parser; accepts no more bytes."""
         self._error = self._error or InvalidMessage(400, "the connection has ended")
--- /dev/null
+++ b/martenlead/events/response.py
@@ -0,0 +1,94 @@
+"""The response to one request, and what a peer sent behind it, without I/O.
+
+Bytes behind a response may be the rest of its body, if its Content-Length is too small (RFC 9112,
+section 6.3). A response counts only if nothing came behind it, or nothing but duplicates of itself.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from martenlead.events.http import InvalidMessageError, Message, Reader
+
+NEWLINES = b"\r\n"
+HEAD_END_BYTES = len(b"\r\n\r\n")
+
+
+class Surplus(Enum):
+    """What came behind a complete response."""
+
+    NONE = "nothing"
+    DUPLICATE = "a duplicate of the response, or the beginning of one"
+    OTHER = "something else"
+
+
+class ResponseAssembler:
+    """Takes what is received on a connection from one request until its response is complete."""
+
+    __slots__ = ("_duplicates", "_has_other", "_newline_run", "_reader", "detail", "message")
+
+    def __init__(self, reader: Reader) -> None:
+        self.message: Message | None = None  # the response, once it is complete
+        self.detail = ""  # why the bytes behind the response are no HTTP
+        self._reader = reader
+        self._newline_run = 0  # CR and LF bytes at the end of what was received
+        self._duplicates = 0
+        self._has_other = False
+
+    @property
+    def is_decided(self) -> bool:
+        """Whether further bytes would change nothing."""
+        return self._has_other or self._duplicates > 0
+
+    def feed(self, data: bytes) -> None:
+        """Adds received bytes.
+
+        Raises:
+            InvalidMessageError: The bytes are not a response, and none was complete before.
+        """
+        try:
+            completed = self._reader.feed(data)
+        except InvalidMessageError as error:
+            if self.message is None and not self._reader.completed:
+                raise
+            completed = self._reader.completed
+            self._has_other = True
+            self.detail = error.reason.detail
+        newlines = count_newlines_at_end(data)
+        self._newline_run = newlines + (self._newline_run if newlines == len(data) else 0)
+        for message in completed:
+            self._add(message)
+
+    def _add(self, message: Message) -> None:
+        if self.message is None:
+            self.message = message
+        elif message == self.message:
+            self._duplicates += 1
+        else:
+            self._has_other = True
+
+    def classify_surplus(self) -> Surplus:
+        """What came behind the complete response so far."""
+        message, reader = self.message, self._reader
+        if message is None:
+            return Surplus.NONE
+        if self._has_other:
+            return Surplus.OTHER
+        if reader.in_message:
+            return Surplus.DUPLICATE if reader.has_begun_like(message) else Surplus.OTHER
+        if self._newline_run > _count_own_newlines(message):
+            return Surplus.OTHER  # the parser skips empty lines behind a message
+        return Surplus.DUPLICATE if self._duplicates else Surplus.NONE
+
+
+def count_newlines_at_end(data: bytes) -> int:
+    """Returns the number of CR and LF bytes that `data` ends with."""
+    return len(data) - len(data.rstrip(NEWLINES))
+
+
+def _count_own_newlines(message: Message) -> int:
+    """Returns the number of CR and LF bytes that a message ends with as it was sent."""
+    if message.header(b"transfer-encoding") is not None:
+        return HEAD_END_BYTES  # behind the last chunk or the trailer
+    newlines = count_newlines_at_end(message.body)
+    return newlines if newlines < len(message.body) else newlines + HEAD_END_BYTES
