The reader of streamed lines is a module of its own

events/client.py had two jobs: a pool of connections with one exchange at a time, and the stream of lines that discovery sends. The second is events/line_stream.py now; nothing else changes.

--- a/martenlead/upstream/endpoint_watch.py
+++ b/martenlead/upstream/endpoint_watch.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from martenlead.events import http
-from martenlead.events.client import read_lines
+from martenlead.events.line_stream import read_lines
 from martenlead.upstream import endpoints
 
 MAX_LINE_BYTES = 16 * 1024 * 1024
--- a/tests/test_message_limits.py
+++ b/tests/test_message_limits.py
@@ -9,7 +9,7 @@
 import anyio
 import pytest
 
-from martenlead.events.client import ExchangeEnd, Pool, read_lines
+from martenlead.events.client import ExchangeEnd, Pool
 from martenlead.events.http import (
     InvalidMessageError,
     Message,
@@ -18,6 +18,7 @@
     chunk,
     request,
 )
+from martenlead.events.line_stream import read_lines
 from support.fleet import respond_ok, run_edge, send_bytes, until
 
 LIMITS = MessageLimits()
--- a/tests/test_system_call_faults.py
+++ b/tests/test_system_call_faults.py
@@ -20,8 +20,9 @@
 import anyio
 import pytest
 
-from martenlead.events.client import ExchangeEnd, Pool, read_lines
+from martenlead.events.client import ExchangeEnd, Pool
 from martenlead.events.http import request
+from martenlead.events.line_stream import read_lines
 from martenlead.events.server import listen
 from martenlead.node import client_connection
 from martenlead.planner import frames
