A response with further whole responses behind it is passed on, as before

Cause: refused a response behind which a different response came in the same read. The test is right and stands as it was.

Change: only bytes that are no response, or the beginning of a head, make the answer before them doubtful; the comparison with a duplicate is gone.

--- a/martenlead/events/client.py
+++ b/martenlead/events/client.py
@@ -238,7 +238,7 @@
         return not response.is_decided and connection.has_unread()
 
     def _end_exchange(self, response: ResponseAssembler) -> Exchange:
-        """The end of an exchange whose response is complete; only a sole one keeps a connection."""
+        """The end of an exchange whose response is complete; a sole one keeps the connection."""
         message = response.message
         surplus = response.classify_surplus()
         if message is None or surplus is Surplus.NONE:
--- a/martenlead/events/http.py
+++ b/martenlead/events/http.py
@@ -141,15 +141,6 @@
         messages, self.completed = self.completed, []
         return messages
 
-    def has_begun_like(self, message: Message) -> bool:
-        """Whether the incomplete message has the head of `message`, and how its body begins."""
-        partial = self._message
-        return (
-            not self.in_head
-            and (partial.status, partial.headers) == (message.status, message.headers)
-            and message.body.startswith(bytes(self._body))
-        )
-
     def close(self) -> None:
         """Drops what was received and the parser; accepts no more bytes."""
         self._error = self._error or InvalidMessage(400, "the connection has ended")
--- a/martenlead/events/response.py
+++ b/martenlead/events/response.py
@@ -1,7 +1,7 @@
 """The response to one request, and what a peer sent behind it, without I/O.
 
 Bytes behind a response may be the rest of its body, if its Content-Length is too small (RFC 9112,
-section 6.3). A response counts only if nothing came behind it, or nothing but duplicates of itself.
+section 6.3). A response counts only if nothing came behind it, or nothing but further responses.
 """
 
 from __future__ import annotations
@@ -18,27 +18,27 @@
     """What came behind a complete response."""
 
     NONE = "nothing"
-    DUPLICATE = "a duplicate of the response, or the beginning of one"
+    RESPONSES = "further responses, of which the last one may lack a part of its body"
     OTHER = "something else"
 
 
 class ResponseAssembler:
     """Takes what is received on a connection from one request until its response is complete."""
 
-    __slots__ = ("_duplicates", "_has_other", "_newline_run", "_reader", "detail", "message")
+    __slots__ = ("_further_responses", "_last", "_newline_run", "_reader", "detail", "message")
 
     def __init__(self, reader: Reader) -> None:
         self.message: Message | None = None  # the response, once it is complete
         self.detail = ""  # why the bytes behind the response are no HTTP
         self._reader = reader
         self._newline_run = 0  # CR and LF bytes at the end of what was received
-        self._duplicates = 0
-        self._has_other = False
+        self._further_responses = 0
+        self._last: Message | None = None  # the last complete message
 
     @property
     def is_decided(self) -> bool:
         """Whether further bytes would change nothing."""
-        return self._has_other or self._duplicates > 0
+        return bool(self.detail) or self._further_responses > 0
 
     def feed(self, data: bytes) -> None:
         """Adds received bytes.
@@ -52,33 +52,25 @@
             if self.message is None and not self._reader.completed:
                 raise
             completed = self._reader.completed
-            self._has_other = True
             self.detail = error.reason.detail
         newlines = count_newlines_at_end(data)
         self._newline_run = newlines + (self._newline_run if newlines == len(data) else 0)
         for message in completed:
-            self._add(message)
-
-    def _add(self, message: Message) -> None:
-        if self.message is None:
-            self.message = message
-        elif message == self.message:
-            self._duplicates += 1
-        else:
-            self._has_other = True
+            self._further_responses += self.message is not None
+            self.message = self.message or message
+            self._last = message
 
     def classify_surplus(self) -> Surplus:
         """What came behind the complete response so far."""
-        message, reader = self.message, self._reader
-        if message is None:
+        if self._last is None:
             return Surplus.NONE
-        if self._has_other:
+        if self.detail or self._reader.in_head:
             return Surplus.OTHER
-        if reader.in_message:
-            return Surplus.DUPLICATE if reader.has_begun_like(message) else Surplus.OTHER
-        if self._newline_run > _count_own_newlines(message):
+        if self._reader.in_message:
+            return Surplus.RESPONSES
+        if self._newline_run > _count_own_newlines(self._last):
             return Surplus.OTHER  # the parser skips empty lines behind a message
-        return Surplus.DUPLICATE if self._duplicates else Surplus.NONE
+        return Surplus.RESPONSES if self._further_responses else Surplus.NONE
 
 
 def count_newlines_at_end(data: bytes) -> int:
--- a/martenlead/upstream/exchange_classifier.py
+++ b/martenlead/upstream/exchange_classifier.py
@@ -50,7 +50,7 @@
     ExchangeEnd.CUT: Result.CONNECTION_LOST,
     # another program, or a faulty worker, answers there; the request may have run
     ExchangeEnd.GARBAGE: Result.CONNECTION_LOST,
-    # the response may be cut off or another request's, and nothing in it tells
+    # the response may be cut off, and nothing in it tells
     ExchangeEnd.OVERRUN: Result.CONNECTION_LOST,
 }
 """Results of exchanges that ended without a response.
