An event's content type and texts are checked where it comes in, in both modes

Cause: decode_json_event took any text as datacontenttype, and encode_event writes it unescaped as the header Content-Type. In binary mode the reader of HTTP refuses control bytes; in structured mode nobody looked.

Change: datacontenttype is a media type (RFC 2045 and RFC 9110, names of 127 characters at most, RFC 6838) or the event is refused with 400 and `attribute`. Control characters are refused in every attribute, in both modes, as the core of CloudEvents forbids them. The time of the check grows with the length alone.

Related path: a message in structured mode that also had a ce-id header was forwarded with its ce- headers, which nobody had checked, and its JSON body. It is sent in binary mode now, with the attributes that were checked.

--- a/martenlead/edge/listener.py
+++ b/martenlead/edge/listener.py
@@ -25,7 +25,13 @@
     rejected_before_acceptance,
     unreadable_message,
 )
-from martenlead.events.cloudevent import Event, InvalidEventError, decode_event, encode_event
+from martenlead.events.cloudevent import (
+    Event,
+    InvalidEventError,
+    decode_event,
+    encode_event,
+    is_structured,
+)
 from martenlead.events.http import Message, MessageLimits, Peer
 from martenlead.events.server import Reply, Server, ServerLimits
 
@@ -158,8 +164,11 @@
 
 
 def _to_content(message: Message, event: Event) -> EventContent:
-    """Returns the event in binary mode; one received in that mode is not encoded again."""
-    if message.header(b"ce-id") is None:
+    """Returns the event in binary mode; one received in that mode is not encoded again.
+
+    A message in structured mode may have ce- headers too, which nobody has checked.
+    """
+    if is_structured(message.header(b"content-type")):
         return EventContent(*encode_event(event))
     headers = [
         pair for pair in message.headers if pair[0][:3] == b"ce-" or pair[0] == b"content-type"
--- a/martenlead/events/cloudevent.py
+++ b/martenlead/events/cloudevent.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from martenlead.events.http import Headers
+from martenlead.events.media_type import is_media_type, parse_essence
 
 AttributeValue = str | int | bool
 STRUCTURED_MEDIA_TYPE = b"application/cloudevents+json"
@@ -30,6 +31,7 @@
 BAD_REQUEST = HTTPStatus.BAD_REQUEST.value
 UNSUPPORTED_MEDIA_TYPE = HTTPStatus.UNSUPPORTED_MEDIA_TYPE.value
 EVENT_MEDIA_TYPE_PREFIX = b"application/cloudevents"
+CONTROL_CHARACTERS = re.compile(r"[\x00-\x1f\x7f-\x9f]")  # not allowed (core, "Type System")
 UNESCAPED_TEXT = re.compile(r"[!#$&-~]*\Z")  # Needs no percent-encoding
 
 
@@ -81,6 +83,9 @@
 
 def _check_attributes(event: Event) -> Event:
     attributes = event.attributes
+    _check_texts(attributes)
+    if event.content_type is not None and not is_media_type(event.content_type):
+        raise InvalidEventError("datacontenttype", "a media type was expected")
     for name in REQUIRED_ATTRIBUTES:
         if name not in attributes:
             raise InvalidEventError(name, "the attribute is missing")
@@ -96,6 +101,12 @@
     return event
 
 
+def _check_texts(attributes: dict[str, AttributeValue]) -> None:
+    for name, value in attributes.items():
+        if isinstance(value, str) and CONTROL_CHARACTERS.search(value):
+            raise InvalidEventError(name, "a control character is not allowed")
+
+
 def encode_value(value: AttributeValue) -> bytes:
     """A header value, percent-encoded as the binding requires (section 3.1.3.2)."""
     text = _canonical(value)
@@ -126,11 +137,6 @@
         raise InvalidEventError(attribute, "not UTF-8") from None
 
 
-def media_type(raw: bytes | None) -> bytes:
-    """The media type of a Content-Type header, in lower case and without its parameters."""
-    return (raw or b"").split(b";")[0].strip().lower()
-
-
 @lru_cache(4096)
 def _attribute(name: bytes) -> str:
     """The attribute name of a ce- header, cached as most events have the same few."""
@@ -145,9 +151,8 @@
 def decode_event(headers: Headers, body: bytes) -> Event:
     """The event of a message, in binary or structured mode. Raises `InvalidEventError`."""
     content_type = _find_content_type(headers)
-    mime_type = media_type(content_type)
-    if mime_type.startswith(EVENT_MEDIA_TYPE_PREFIX):
-        return _decode_structured(mime_type, body)
+    if is_structured(content_type):
+        return _decode_structured(parse_essence(content_type), body)
     attributes: dict[str, AttributeValue] = {}
     for name, value in headers:
         if not name.startswith(b"ce-"):
@@ -169,6 +174,11 @@
     return _check_attributes(Event(attributes, body if has_data else None, text))
 
 
+def is_structured(content_type: bytes | None) -> bool:
+    """Whether a message with this Content-Type is in structured mode (binding, section 3)."""
+    return parse_essence(content_type).startswith(EVENT_MEDIA_TYPE_PREFIX)
+
+
 def _find_content_type(headers: Headers) -> bytes | None:
     content_type = None
     for name, value in headers:
