One module writes the heads of HTTP, and refuses what would be another head

Change: events/head.py alone encodes heads, chunks and interim responses, typed (FieldLines, InvalidHeadError with the part). It refuses field names that are no tokens in lower case, control bytes in values, framing among the fields, and methods, targets, hosts and status codes that the grammar forbids (RFC 9110, RFC 9112). Host has brackets around IPv6 addresses. An empty part of a body in chunks has no chunk, as that would end the body. A request that cannot be encoded counts as unwritten: the pool noted the write before.

The worker stand-in's fault `garbage` had a second length among its fields; it now sends `expect` twice, which the reader refuses in the same way. Three tests write the last chunk by the new names and ask the same.

--- a/martenlead/edge/http_upstream.py
+++ b/martenlead/edge/http_upstream.py
@@ -17,6 +17,12 @@
 from martenlead.edge.records import FunctionEntry, InFlightAttempt, UpstreamWorker
 from martenlead.events import http
 from martenlead.events.client import Exchange, Pool, SendProgress
+from martenlead.events.head import (
+    FieldLines,
+    encode_authority,
+    encode_field_lines,
+    encode_request_head,
+)
 from martenlead.policy.types import Result
 from martenlead.upstream import exchange_classifier, load_requests
 from martenlead.upstream.endpoints import Endpoint
@@ -35,7 +41,7 @@
 
     headers: http.Headers
     body: bytes
-    header_lines: bytes | None = None  # encoded at the first attempt, the same for all of them
+    field_lines: FieldLines | None = None  # encoded at the first attempt, the same for all of them
 
 
 class WorkerConnections:
@@ -43,7 +49,7 @@
 
     def __init__(self, endpoint: Endpoint, settings: EdgeSettings) -> None:
         limits = settings.limits
-        self.host = f"{endpoint.host}:{endpoint.port}".encode()
+        self.host = encode_authority(endpoint.host, endpoint.port)
         self.pool = Pool(
             endpoint.host,
             endpoint.port,
@@ -69,6 +75,7 @@
     def __init__(self, settings: EdgeSettings) -> None:
         self.settings = settings
         self.user_agent = f"martenlead/{settings.name}".encode()
+        self._agent_line = encode_field_lines([(b"user-agent", self.user_agent)])
         self.dispatcher: Dispatcher
         self.group: TaskGroup
         self._cancelled: set[InFlightAttempt] = set()
@@ -195,22 +202,18 @@
         policy_attempt = attempt.policy_attempt
         timeout_at_ns = policy_attempt.sent_ns + policy_attempt.timeout_ns
         left_ns = max(0, timeout_at_ns - self.dispatcher.clock())
-        if content.header_lines is None:
-            kept = (pair for pair in content.headers if pair[0] not in REWRITTEN_HEADERS)
-            content.header_lines = b"".join(b"%b: %b\r\n" % pair for pair in kept)
-        return (
-            b"POST / HTTP/1.1\r\nhost: %b\r\nuser-agent: %b\r\n"
-            b"%bce-timeleftms: %d\r\nce-handoff: %d\r\ncontent-length: %d\r\n\r\n%b"
-            % (
-                connections.host,
-                self.user_agent,
-                content.header_lines,
-                left_ns // NS_PER_MS,
-                attempt.number,
-                len(content.body),
-                content.body,
-            )
+        if content.field_lines is None:
+            kept = [pair for pair in content.headers if pair[0] not in REWRITTEN_HEADERS]
+            content.field_lines = encode_field_lines(kept)
+        rewritten = encode_field_lines(
+            [
+                (b"ce-timeleftms", b"%d" % (left_ns // NS_PER_MS)),
+                (b"ce-handoff", b"%d" % attempt.number),
+            ]
         )
+        fields = FieldLines(self._agent_line + content.field_lines + rewritten)
+        body = content.body
+        return encode_request_head(b"POST", b"/", connections.host, fields, len(body)) + body
 
     # -- load requests and health checks
 
--- a/martenlead/events/client.py
+++ b/martenlead/events/client.py
@@ -219,8 +219,9 @@
             await anyio.lowlevel.checkpoint_if_cancelled()
             if not sending.may_send():
                 return Exchange(ExchangeEnd.WITHHELD)
+            encoded = data if isinstance(data, bytes) else data()
             sending.has_written = True
-            await stream.send(data if isinstance(data, bytes) else data())
+            await stream.send(encoded)
             while response.message is None or self._may_have_surplus(connection, response):
                 received = await stream.receive(RECEIVE_BYTES)
                 has_received = True
--- a/martenlead/events/connection.py
+++ b/martenlead/events/connection.py
@@ -21,13 +21,14 @@
 import anyio
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 
+from martenlead.events.head import LAST_CHUNK, encode_chunk, encode_interim_response
 from martenlead.events.http import (
+    CONTINUE,
     Headers,
     InvalidMessage,
     InvalidMessageError,
     Message,
     Reader,
-    chunk,
     response,
 )
 from martenlead.events.server_interface import ConnectionOwner, Reply
@@ -223,7 +224,7 @@
                 return None
         if invalid is None and reader.expects_continue and not self.slots:
             reader.expects_continue = False
-            await send_all(self.stream, b"HTTP/1.1 100 Continue\r\n\r\n")
+            await send_all(self.stream, encode_interim_response(CONTINUE))
         return invalid
 
     async def _start_request(self, group: TaskGroup, message: Message, arrived_ns: int) -> None:
@@ -356,18 +357,16 @@
 
     async def write(self, reply: Reply, is_last: bool) -> None:
         """Writes one response; the last one announces that the connection closes."""
-        headers = reply.headers
         if isinstance(reply.body, bytes):
             await send_all(self.stream, self._encode(reply, reply.body, is_last))
             return
-        chunked = (b"transfer-encoding", b"chunked")
-        await send_all(self.stream, response(reply.status, [*headers, chunked], None))
+        await send_all(self.stream, response(reply.status, reply.headers, None))
         async with aclosing(reply.body) as parts:  # closed even if the client has disconnected
             async for part in parts:
                 self.write_started_ns = monotonic_ns()
-                await send_all(self.stream, chunk(part))
+                await send_all(self.stream, encode_chunk(part))
                 self.write_started_ns = NEVER_NS  # no time-out between two parts
-        await send_all(self.stream, chunk(b""))
+        await send_all(self.stream, LAST_CHUNK)
 
     def _encode(self, reply: Reply, body: bytes, is_last: bool) -> bytes:
         close: Headers = [(b"connection", b"close")] if is_last else []
--- a/martenlead/events/http.py
+++ b/martenlead/events/http.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import re
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -15,8 +14,14 @@
 
 import httptools
 
+from martenlead.events.head import (
+    CONTROL_BYTES,
+    encode_field_lines,
+    encode_request_head,
+    encode_response_head,
+)
+
 Headers = list[tuple[bytes, bytes]]
-CONTROL_BYTES = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding", b"host", b"expect"})
 CONTINUE = HTTPStatus.CONTINUE.value
 OK = HTTPStatus.OK.value  # First status that is not interim
@@ -273,15 +278,6 @@
         self.completed.append(message)
 
 
-def _encode(start_line: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes | None) -> bytes:
-    lines = [start_line]
-    lines += [b"%b: %b" % pair for pair in headers]
-    if body is not None:
-        lines.append(b"content-length: %d" % len(body))
-    lines.append(b"\r\n")
-    return b"\r\n".join(lines) + (body or b"")
-
-
 def request(
     method: bytes,
     target: bytes,
@@ -289,20 +285,19 @@
     headers: Iterable[tuple[bytes, bytes]],
     body: bytes = b"",
 ) -> bytes:
-    """A request with Content-Length."""
-    return _encode(b"%b %b HTTP/1.1\r\nhost: %b" % (method, target, host), headers, body)
-
-
-REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+    """A request with Content-Length. Raises `InvalidHeadError`."""
+    fields = encode_field_lines(headers)
+    return encode_request_head(method, target, host, fields, len(body)) + body
 
 
 def response(
     status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes | None = b""
 ) -> bytes:
-    """A response with Content-Length; without one if `body` is None, for a body that follows."""
-    return _encode(b"HTTP/1.1 %d %b" % (status, REASONS.get(status, b"")), headers, body)
-
+    """A response with Content-Length; if `body` is None, the head alone of one in chunks.
 
-def chunk(data: bytes) -> bytes:
-    """One chunk of a chunked body; the last chunk is empty."""
-    return b"%x\r\n%b\r\n" % (len(data), data)
+    Raises `InvalidHeadError`.
+    """
+    fields = encode_field_lines(headers)
+    if body is None:
+        return encode_response_head(status, fields, None)
+    return encode_response_head(status, fields, len(body)) + body
--- a/martenlead/standins/runner.py
+++ b/martenlead/standins/runner.py
@@ -36,6 +36,7 @@
 NEVER_RAN_HEADER = (b"martenlead-never-ran", b"1")
 LOAD_FAILURE_HEADER = b"martenlead-load-failure"
 LOAD_TIMEOUT_S = 30.0
+CONFLICTING_FIELDS = [(b"expect", b"nonsense")] * 2  # makes a response that no edge accepts
 
 
 class DeduplicationTable:
@@ -297,7 +298,7 @@
         headers, body = encode_event(result)
         reply = self.add_report(Reply(200, headers, body), warmth)
         if self.random.random() < self.garbage_share:
-            reply.headers.append((b"content-length", b"nonsense"))
+            reply.headers += CONFLICTING_FIELDS
         return reply
 
     # -- replicas
--- a/martenlead/upstream/endpoint_watch.py
+++ b/martenlead/upstream/endpoint_watch.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from martenlead.events import http
+from martenlead.events.head import encode_authority
 from martenlead.events.line_stream import read_lines
 from martenlead.upstream import endpoints
 
@@ -103,7 +104,7 @@
 
 def _open_stream(settings: WatchSettings, agent: bytes, version: int) -> AsyncGenerator[bytes]:
     """Returns the stream's lines after a version, beginning with a snapshot if that is 0."""
-    host = f"{settings.host}:{settings.port}".encode()
+    host = encode_authority(settings.host, settings.port)
     data = http.request(b"GET", b"/roster?after=%d" % version, host, [(b"user-agent", agent)])
     return read_lines(
         settings.host,
--- a/tests/test_cloudevent.py
+++ b/tests/test_cloudevent.py
@@ -18,7 +18,8 @@
     encode_value,
     parse_time,
 )
-from martenlead.events.http import InvalidMessageError, MessageLimits, Reader, chunk, request, response
+from martenlead.events.head import LAST_CHUNK, encode_chunk
+from martenlead.events.http import InvalidMessageError, MessageLimits, Reader, request, response
 
 TEXT = st.text(st.characters(exclude_categories=["Cs", "Cc"]), min_size=1)
 NAMES = st.from_regex(r"[a-z0-9]{1,20}", fullmatch=True).filter(
@@ -144,7 +145,7 @@
     body: bytes, sizes: list[int], chunked: bool
 ) -> None:
     if chunked:
-        chunks = b"".join(chunk(body[n : n + 7]) for n in range(0, len(body), 7)) + chunk(b"")
+        chunks = b"".join(encode_chunk(body[n : n + 7]) for n in range(0, len(body), 7)) + LAST_CHUNK
         data = b"POST /x HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n" + chunks
     else:
         data = request(b"POST", b"/x", b"h", [(b"a", b"b")], body)
--- a/tests/test_message_limits.py
+++ b/tests/test_message_limits.py
@@ -10,12 +10,12 @@
 import pytest
 
 from martenlead.events.client import ExchangeEnd, Pool
+from martenlead.events.head import encode_chunk
 from martenlead.events.http import (
     InvalidMessageError,
     Message,
     MessageLimits,
     Reader,
-    chunk,
     request,
 )
 from martenlead.events.line_stream import read_lines
@@ -62,7 +62,7 @@
     """Guards against an object for each chunk: 23 MB were held for a body of 1 MB in chunks of 2 bytes."""
     reader = Reader(LIMITS, requests=requests)
     reader.feed(REQUEST_HEAD if requests else RESPONSE_HEAD)
-    chunks = chunk(b"xy") * 2048
+    chunks = encode_chunk(b"xy") * 2048
     tracemalloc.start()
     try:
         for _ in range(LIMITS.body_bytes // 4096):
@@ -70,7 +70,7 @@
         held_bytes, _ = tracemalloc.get_traced_memory()
     finally:
         tracemalloc.stop()
-    (message,) = reader.feed(chunk(b""))
+    (message,) = reader.feed(b"0\r\n\r\n")
     assert message.body == b"xy" * (LIMITS.body_bytes // 2)
     assert held_bytes < 1.5 * LIMITS.body_bytes
 
--- a/tests/test_response_surplus.py
+++ b/tests/test_response_surplus.py
@@ -12,7 +12,8 @@
 from hypothesis import strategies as st
 
 from martenlead.events.client import Exchange, ExchangeEnd, Pool, SendProgress
-from martenlead.events.http import InvalidMessageError, MessageLimits, Reader, chunk, response
+from martenlead.events.head import LAST_CHUNK, encode_chunk
+from martenlead.events.http import InvalidMessageError, MessageLimits, Reader, response
 from martenlead.events.response import ResponseAssembler, Surplus
 from martenlead.policy.types import Result
 from martenlead.upstream.exchange_classifier import classify_attempt, classify_load_request
@@ -21,7 +22,7 @@
 GET_REQUEST = b"GET / HTTP/1.1\r\nhost: w\r\n\r\n"
 GOOD = response(200, [], b"payment 125")
 CLOSING = response(200, [(b"connection", b"close")], b"payment 125")
-CHUNKED = response(200, [(b"transfer-encoding", b"chunked")], None) + chunk(b"payment 125") + chunk(b"")
+CHUNKED = response(200, [], None) + encode_chunk(b"payment 125") + LAST_CHUNK
 SURPLUSES = {
     "the rest of the body": GOOD + b"0 dollars",
     "the last newline of the body": GOOD + b"\n",
@@ -54,8 +55,8 @@
     """Guards against responses served cut off: the parser skips newlines and takes an `H` for a beginning."""
     data = response(200, [], body)
     if is_chunked:
-        parts = b"".join(chunk(body[n : n + 7]) for n in range(0, len(body), 7)) + chunk(b"")
-        data = response(200, [(b"transfer-encoding", b"chunked")], None) + parts
+        parts = b"".join(encode_chunk(body[n : n + 7]) for n in range(0, len(body), 7)) + LAST_CHUNK
+        data = response(200, [], None) + parts
     assembler = ResponseAssembler(Reader(MessageLimits(), requests=False))
     position, received = 0, data + behind
     for size in [*sizes, len(received)]:
