Input that is nested too deeply or that no decoder reads is refused as invalid

What callers saw: an event in structured mode with JSON 200,000 deep got 500 and a traceback in the log, in place of 400. So did data or attributes that are no UTF-8, and a number of 5,000 digits. JSON data that is no UTF-8 was forwarded.

Cause: msgspec raises RecursionError for what is too deep, which is no DecodeError, and values that the first pass leaves as `Raw` were decoded later without any handling.

Related paths, same cause: the answer to a load request, a line of discovery, a frame of the planner link, a layers manifest or list, a load command to the layers agent, and `martenlead status`. Where a codec of a peer's bytes caught DecodeError it catches DECODE_ERRORS of system/decode_errors.py. The edge's PUT /limits was looked at and refuses such a body by its type already. The node had its own list of the same three errors and is unchanged.

`martenlead status` has no test of its own for it.

--- a/martenlead/cli/status.py
+++ b/martenlead/cli/status.py
@@ -13,6 +13,7 @@
 from martenlead.cli.output import print_json
 from martenlead.events import http
 from martenlead.events.client import Pool
+from martenlead.system.decode_errors import DECODE_ERRORS
 
 TIMEOUT_SECONDS = 2
 
@@ -57,7 +58,7 @@
             return exchange.detail or exchange.end.value
         try:
             return msgspec.json.decode(exchange.message.body, type=Status)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return f"no state: {error}"
     return "no answer in two seconds"
 
--- a/martenlead/events/cloudevent.py
+++ b/martenlead/events/cloudevent.py
@@ -17,6 +17,7 @@
 
 from martenlead.events.http import Headers
 from martenlead.events.media_type import is_media_type, parse_essence
+from martenlead.system.decode_errors import DECODE_ERRORS
 
 AttributeValue = str | int | bool
 STRUCTURED_MEDIA_TYPE = b"application/cloudevents+json"
@@ -206,10 +207,7 @@
 
 def decode_json_event(body: bytes) -> Event:
     """An event in the JSON format. Raises `InvalidEventError`."""
-    try:
-        members = _members_decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        raise InvalidEventError("data", "the body is not a JSON object") from None
+    members = _decode_members(body)
     attributes = _decode_attributes(members)
     content_type = attributes.pop("datacontenttype", None)
     if content_type is not None and not isinstance(content_type, str):
@@ -224,11 +222,28 @@
         if is_json(content_type):
             content_type = content_type or "application/json"
         else:
-            value = _value_decoder.decode(data)
+            value = _decode_member("data", members["data"])
             data = value.encode() if isinstance(value, str) else data
     return _check_attributes(Event(attributes, data, content_type))
 
 
+def _decode_members(body: bytes) -> dict[str, msgspec.Raw]:
+    try:
+        body.decode()  # the decoder leaves the texts of `Raw` members unchecked
+        return _members_decoder.decode(body)
+    except RecursionError:
+        raise InvalidEventError("data", "the body is nested too deeply") from None
+    except DECODE_ERRORS:
+        raise InvalidEventError("data", "the body is not a JSON object") from None
+
+
+def _decode_member(name: str, raw: msgspec.Raw) -> object:
+    try:
+        return _value_decoder.decode(raw)
+    except DECODE_ERRORS:
+        raise InvalidEventError(name, "the value cannot be read") from None
+
+
 def _decode_attributes(members: dict[str, msgspec.Raw]) -> dict[str, AttributeValue]:
     """All members except those of the data."""
     attributes: dict[str, AttributeValue] = {}
@@ -237,7 +252,7 @@
             continue
         if not ATTRIBUTE_NAME.match(name):
             raise InvalidEventError(name[:64], "attribute names are lower-case letters and digits")
-        value = _value_decoder.decode(raw)
+        value = _decode_member(name, raw)
         if value is None:
             continue  # JSON format 1.0.2, section 2.2: null is the same as absent
         is_too_large = isinstance(value, int) and not -INTEGER_LIMIT <= value < INTEGER_LIMIT
@@ -249,11 +264,13 @@
 
 
 def _decode_base64(raw: msgspec.Raw) -> bytes:
-    text = _value_decoder.decode(raw)
+    text = _decode_member("data_base64", raw)
     try:
-        return b64decode(text, validate=True)
-    except (TypeError, ValueError):
-        raise InvalidEventError("data_base64", "Base64 was expected") from None
+        if isinstance(text, str):
+            return b64decode(text, validate=True)
+    except ValueError:
+        pass
+    raise InvalidEventError("data_base64", "Base64 was expected")
 
 
 def is_json(content_type: str | None) -> bool:
@@ -284,7 +301,7 @@
             try:
                 _value_decoder.decode(event.data)
                 members["data"] = msgspec.Raw(event.data)
-            except (msgspec.DecodeError, UnicodeDecodeError):
+            except DECODE_ERRORS:
                 members["data_base64"] = b64encode(event.data).decode()
         else:
             members["data_base64"] = b64encode(event.data).decode()
--- a/martenlead/layers/agent.py
+++ b/martenlead/layers/agent.py
@@ -33,6 +33,7 @@
 from martenlead.layers.name_resolver import NameResolver
 from martenlead.layers.naming import Names
 from martenlead.layers.settings import AgentSettings, EndpointListLink, Member, hash_worker_name
+from martenlead.system.decode_errors import DECODE_ERRORS
 from martenlead.upstream import endpoints
 from martenlead.upstream.endpoint_watch import watch_endpoints
 
@@ -130,7 +131,7 @@
     async def _handle_load(self, body: bytes) -> Reply:
         try:
             command = msgspec.json.decode(body, type=LoadCommand)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return problem(400, "Not a load", str(error))
         if self.loading >= self.settings.loads:
             return problem(
--- a/martenlead/layers/image.py
+++ b/martenlead/layers/image.py
@@ -23,6 +23,7 @@
 from fastcdc import fastcdc
 
 from martenlead.system.clocks import wall_ns
+from martenlead.system.decode_errors import DECODE_ERRORS
 
 DIGEST = re.compile(r"sha256:[0-9a-f]{64}\Z")
 HEX = slice(7, None)  # the digits of a digest, after "sha256:"
@@ -161,7 +162,7 @@
             return Index([])
         try:
             return msgspec.json.decode(path.read_bytes(), type=Index)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             raise BadImageError(path, f"{error}") from None
 
     def name(self, ref: str, manifest: Descriptor) -> None:
@@ -193,7 +194,7 @@
     check(data, digest)
     try:
         manifest = msgspec.json.decode(data, type=Manifest)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise BadImageError(digest, f"no manifest: {error}") from None
     for layer in manifest.layers:
         is_valid = (
@@ -211,7 +212,7 @@
     check(data, digest)
     try:
         layer = msgspec.json.decode(data, type=Layer)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise BadImageError(digest, f"no layer: {error}") from None
     for chunk in layer.chunks:
         is_valid = (
--- a/martenlead/planner/frames.py
+++ b/martenlead/planner/frames.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from martenlead.capture import events as ev
+from martenlead.system.decode_errors import DECODE_ERRORS
 
 LOWEST_VERSION = 1
 HIGHEST_VERSION = 2
@@ -196,7 +197,7 @@
         while (payload := self._next_payload()) is not None:
             try:
                 messages.append(_decode(payload))
-            except (msgspec.DecodeError, ValueError) as error:
+            except (*DECODE_ERRORS, ValueError) as error:
                 reason = f"not a message of this protocol: {error}"
                 raise FrameError(reason) from None
         return messages
--- a/martenlead/planner/policy_replica.py
+++ b/martenlead/planner/policy_replica.py
@@ -23,9 +23,10 @@
 from martenlead.policy.policy import Policy
 from martenlead.policy.state import Function
 from martenlead.policy.types import Action, AttemptResult, LoadRequest, Request, Result, Warmth
+from martenlead.system.decode_errors import DECODE_ERRORS
 
 CLOSED = "closed"  # marks a request (`process`) whose final response the edge has sent
-SNAPSHOT_ERRORS = (msgspec.DecodeError, KeyError, ValueError, TypeError, IndexError, AttributeError)
+SNAPSHOT_ERRORS = (*DECODE_ERRORS, KeyError, ValueError, TypeError, IndexError, AttributeError)
 EVENT_ERRORS = (KeyError, ValueError, IndexError, AttributeError)
 
 ReplicaKey = tuple[int, int]  # numbers of worker and function
--- a/martenlead/upstream/endpoint_watch.py
+++ b/martenlead/upstream/endpoint_watch.py
@@ -7,11 +7,11 @@
 from typing import Protocol
 
 import anyio
-import msgspec
 
 from martenlead.events import http
 from martenlead.events.head import encode_authority
 from martenlead.events.line_stream import read_lines
+from martenlead.system.decode_errors import DECODE_ERRORS
 from martenlead.upstream import endpoints
 
 MAX_LINE_BYTES = 16 * 1024 * 1024
@@ -26,7 +26,7 @@
 PROTOCOL_ERRORS: tuple[type[Exception], ...] = (
     endpoints.MissingVersionError,
     http.InvalidMessageError,
-    msgspec.DecodeError,
+    *DECODE_ERRORS,
 )
 
 
--- a/martenlead/upstream/load_requests.py
+++ b/martenlead/upstream/load_requests.py
@@ -15,6 +15,7 @@
 
 from martenlead.events.client import Exchange
 from martenlead.events.http import Headers, request
+from martenlead.system.decode_errors import DECODE_ERRORS
 from martenlead.upstream.exchange_classifier import LOAD_REPORT_HEADER
 
 __all__ = [
@@ -84,7 +85,7 @@
         return 0
     try:
         return max(0, _load_response_decoder.decode(exchange.message.body).replicas)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return 0
 
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -281,6 +281,7 @@
             assert (await send_request(b"GET", b"/chunks/sha256:" + b"0" * 64))[0] == 400
             assert (await send_request(b"GET", b"/chunks/sha256:" + b"0" * 64 + b"?size=5"))[0] == 404
             assert (await send_request(b"POST", b"/load", b"[]"))[0] == 400
+            assert (await send_request(b"POST", b"/load", b'{"x": ' + b"[" * 100_000))[0] == 400
             status, body = await send_request(b"POST", b"/load", b'{"ref": "m:1"}')
             assert (status, msgspec.json.decode(body)["size"]) == (200, 20_000)
             group.cancel_scope.cancel()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -10,7 +10,7 @@
 
 import pytest
 from click.testing import CliRunner
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from martenlead.cli.main import commands
@@ -74,6 +74,7 @@
         layout.path("sha256:../../etc/passwd")
 
 
+@example(b'{"x": ' + b"[" * 100_000)
 @given(st.binary(max_size=300))
 def test_arbitrary_bytes_are_rejected_as_manifest_and_layer(data: bytes) -> None:
     for read in (image.read_manifest, image.read_layer):
