Names and hosts in settings and options are checked before they become heads

Cause: the edge's and the agent's name, the hosts of the settings and the options of `martenlead call` and `martenlead status` went into heads unchecked. With the typed encoder a wrong one is refused, but as a traceback where it is first used.

Change: settings refuse control characters in names and anything but a name or an address in a host, with the place in the file. `martenlead call` checks its event as the edge does and ends with a usage error; `martenlead status` tells the address that is none. Host names the port as well, with brackets for IPv6.

--- a/martenlead/cli/call.py
+++ b/martenlead/cli/call.py
@@ -10,7 +10,14 @@
 
 from martenlead.events import http
 from martenlead.events.client import Exchange, Pool
-from martenlead.events.cloudevent import AttributeValue, Event, encode_event
+from martenlead.events.cloudevent import (
+    AttributeValue,
+    Event,
+    InvalidEventError,
+    check_event,
+    encode_event,
+)
+from martenlead.events.head import InvalidHeadError, encode_authority
 
 CONNECT_TIMEOUT_NS = 2_000_000_000
 MS_PER_SECOND = 1000
@@ -65,16 +72,24 @@
         attributes[name] = value
     body = sys.stdin.buffer.read() if data == "-" else data.encode()
     event = Event(attributes, body, "application/json")
-    sys.exit(anyio.run(_send, host, port, event, within_ms / MS_PER_SECOND + EXTRA_SECONDS))
+    try:
+        request = _encode_request(host, port, event)
+    except (InvalidEventError, InvalidHeadError) as error:
+        raise click.UsageError(str(error)) from None
+    sys.exit(anyio.run(_send, host, port, request, within_ms / MS_PER_SECOND + EXTRA_SECONDS))
+
+
+def _encode_request(host: str, port: int, event: Event) -> bytes:
+    headers, body = encode_event(check_event(event))
+    return http.request(b"POST", b"/", encode_authority(host, port), headers, body)
 
 
-async def _send(host: str, port: int, event: Event, timeout_seconds: float) -> int:
-    """Sends an event, prints the response, and returns the exit code."""
-    headers, body = encode_event(event)
+async def _send(host: str, port: int, request: bytes, timeout_seconds: float) -> int:
+    """Sends a request, prints the response, and returns the exit code."""
     pool = Pool(host, port, connect_timeout_ns=CONNECT_TIMEOUT_NS)
     exchange: Exchange | None = None
     with anyio.move_on_after(timeout_seconds):
-        exchange = await pool.exchange(http.request(b"POST", b"/", host.encode(), headers, body))
+        exchange = await pool.exchange(request)
     if exchange is None:
         click.echo("no answer in time", err=True)
         return NO_RESPONSE
--- a/martenlead/cli/status.py
+++ b/martenlead/cli/status.py
@@ -13,6 +13,7 @@
 from martenlead.cli.output import print_json
 from martenlead.events import http
 from martenlead.events.client import Pool
+from martenlead.events.head import InvalidHeadError
 from martenlead.system.decode_errors import DECODE_ERRORS
 
 TIMEOUT_SECONDS = 2
@@ -51,9 +52,13 @@
 async def _read_status(place: str) -> Status | str:
     """The status of the process at an address, or the reason why it could not be read."""
     host, _, port = place.rpartition(":")
+    try:
+        request = http.request(b"GET", b"/state", place.encode(), [])
+    except InvalidHeadError as error:
+        return str(error)
     with anyio.move_on_after(TIMEOUT_SECONDS):
         pool = Pool(host or "127.0.0.1", int(port))
-        exchange = await pool.exchange(http.request(b"GET", b"/state", place.encode(), []))
+        exchange = await pool.exchange(request)
         if exchange.message is None or exchange.message.status != HTTPStatus.OK:
             return exchange.detail or exchange.end.value
         try:
--- a/martenlead/config/schema.py
+++ b/martenlead/config/schema.py
@@ -11,12 +11,15 @@
 import msgspec
 from msgspec import Meta
 
+from martenlead.events.head import HOST_PATTERN, TEXT_PATTERN
+
 Share = Annotated[float, Meta(ge=0, le=1)]
 Positive = Annotated[float, Meta(gt=0)]
 NotNegative = Annotated[float, Meta(ge=0)]
 Count = Annotated[int, Meta(ge=1)]
 Port = Annotated[int, Meta(ge=0, le=65535)]
-Name = Annotated[str, Meta(min_length=1, max_length=200)]
+Name = Annotated[str, Meta(min_length=1, max_length=200, pattern=TEXT_PATTERN)]
+Host = Annotated[str, Meta(min_length=1, max_length=200, pattern=HOST_PATTERN)]
 Secret = Annotated[str, Meta(min_length=16, max_length=200)]
 
 
@@ -27,14 +30,14 @@
 class Address(SettingsGroup, frozen=True, kw_only=True):
     """The address that a program listens on; port 0 selects any free port."""
 
-    host: Name = "127.0.0.1"
+    host: Host = "127.0.0.1"
     port: Port = 0
 
 
 class EndpointListSettings(SettingsGroup, frozen=True, kw_only=True):
     """The connection to the endpoint list, which lists the workers."""
 
-    host: Name = "127.0.0.1"
+    host: Host = "127.0.0.1"
     port: Annotated[int, Meta(ge=1, le=65535)]
     kept: str | None = None  # file in which the last list is cached
     # a stream without a line for this long counts as broken
--- a/martenlead/events/cloudevent.py
+++ b/martenlead/events/cloudevent.py
@@ -82,7 +82,8 @@
         raise InvalidEventError(attribute, "an RFC 3339 time was expected") from None
 
 
-def _check_attributes(event: Event) -> Event:
+def check_event(event: Event) -> Event:
+    """The event, if its attributes are valid. Raises `InvalidEventError`."""
     attributes = event.attributes
     _check_texts(attributes)
     if event.content_type is not None and not is_media_type(event.content_type):
@@ -104,6 +105,8 @@
 
 def _check_texts(attributes: dict[str, AttributeValue]) -> None:
     for name, value in attributes.items():
+        if not ATTRIBUTE_NAME.match(name):
+            raise InvalidEventError(name[:64], "attribute names are lower-case letters and digits")
         if isinstance(value, str) and CONTROL_CHARACTERS.search(value):
             raise InvalidEventError(name, "a control character is not allowed")
 
@@ -172,7 +175,7 @@
         except UnicodeDecodeError:
             raise InvalidEventError("datacontenttype", "not ASCII") from None
     has_data = bool(body) or content_type is not None
-    return _check_attributes(Event(attributes, body if has_data else None, text))
+    return check_event(Event(attributes, body if has_data else None, text))
 
 
 def is_structured(content_type: bytes | None) -> bool:
@@ -224,7 +227,7 @@
         else:
             value = _decode_member("data", members["data"])
             data = value.encode() if isinstance(value, str) else data
-    return _check_attributes(Event(attributes, data, content_type))
+    return check_event(Event(attributes, data, content_type))
 
 
 def _decode_members(body: bytes) -> dict[str, msgspec.Raw]:
@@ -250,8 +253,6 @@
     for name, raw in members.items():
         if name in RESERVED_NAMES:
             continue
-        if not ATTRIBUTE_NAME.match(name):
-            raise InvalidEventError(name[:64], "attribute names are lower-case letters and digits")
         value = _decode_member(name, raw)
         if value is None:
             continue  # JSON format 1.0.2, section 2.2: null is the same as absent
--- a/martenlead/events/head.py
+++ b/martenlead/events/head.py
@@ -25,6 +25,10 @@
 CONTROL_BYTES = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")  # RFC 9110, section 5.5, all but the tab
 METHOD = re.compile(rb"[A-Z]{1,20}")
 TARGET = re.compile(rb"[\x21-\x7e]+")
+HOST_PATTERN = r"\A[A-Za-z0-9\-._~%:]+\Z"
+"""Names and addresses of hosts without a port, for settings."""
+TEXT_PATTERN = r"\A[^\x00-\x1f\x7f]+\Z"
+"""Texts that a field value may hold, for settings."""
 HOST = re.compile(rb"[A-Za-z0-9\-._~!$&'()*+,;=%:\[\]]*")  # RFC 3986, section 3.2, without userinfo
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 STATUS_CODES = range(100, 600)
--- a/martenlead/layers/settings.py
+++ b/martenlead/layers/settings.py
@@ -8,11 +8,14 @@
 import xxhash
 from msgspec import Meta
 
+from martenlead.events.head import HOST_PATTERN, TEXT_PATTERN
+
 WORKER_ID_SHIFT = 11  # leaves 53 bits, which JSON numbers carry exactly
 
 Port = Annotated[int, Meta(ge=0, le=65535)]
 Positive = Annotated[float, Meta(gt=0)]
 Count = Annotated[int, Meta(ge=1, le=65536)]
+Host = Annotated[str, Meta(pattern=HOST_PATTERN)]
 
 
 def hash_worker_name(name: str) -> int:
@@ -23,7 +26,7 @@
 class StoreAddress(msgspec.Struct, forbid_unknown_fields=True, kw_only=True, frozen=True):
     """Where the artifact store listens."""
 
-    host: str = "127.0.0.1"
+    host: Host = "127.0.0.1"
     port: Port
 
 
@@ -31,14 +34,14 @@
     """The agent of a worker. Its id is the same at all agents."""
 
     worker_id: int = msgspec.field(name="mark")
-    host: str = "127.0.0.1"
+    host: Host = "127.0.0.1"
     port: Port
 
 
 class EndpointListLink(msgspec.Struct, forbid_unknown_fields=True, kw_only=True, frozen=True):
     """Where the endpoint list is watched, and how."""
 
-    host: str = "127.0.0.1"
+    host: Host = "127.0.0.1"
     port: Port
     silence_timeout_ms: Positive = msgspec.field(default=3000, name="quiet_ms")
     retry_ms: Positive = 100
@@ -47,7 +50,7 @@
 class AgentSettings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True, frozen=True):
     """Settings of one agent. `name` is the worker's name in the endpoint list."""
 
-    name: Annotated[str, Meta(min_length=1, max_length=200)]
+    name: Annotated[str, Meta(min_length=1, max_length=200, pattern=TEXT_PATTERN)]
     port: Port = 0
     cache: str  # folder of the cache
     cache_bytes: Annotated[int, Meta(ge=1)] = 10 * 1024**3
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -43,6 +43,12 @@
             "effect: 'deduplicated' }] }",
             "{path}: $.offerings[0].window_ms: a deduplicated offering needs",
         ),
+        (VALID + "+ { name: 'a\\r\\nx: y' }", "{path}: $.name: Expected `str` matching regex"),
+        (VALID + "+ { name: 'a\\n' }", "{path}: $.name: Expected `str` matching regex"),
+        (
+            VALID + "+ { roster+: { host: 'h\\nx: y' } }",
+            "{path}: $.roster.host: Expected `str` matching regex",
+        ),
         ("import 'nothing.libsonnet'", "{path}: "),
     ],
 )
--- a/tests/test_head.py
+++ b/tests/test_head.py
@@ -7,10 +7,12 @@
 
 import anyio
 import pytest
+from click.testing import CliRunner
 from hypothesis import given
 from hypothesis import strategies as st
 
 import martenlead
+from martenlead.cli.main import commands
 from martenlead.events.client import Pool, SendProgress
 from martenlead.events.head import (
     FRAMING_NAMES,
@@ -24,6 +26,7 @@
 from martenlead.events.http import MessageLimits, Reader, request, response
 
 LINE_END = "\r\n"
+USAGE_ERROR = 2
 # What reads heads, and the frames of another protocol
 ALLOWED_MODULES = {"events/head.py", "events/response.py", "node/client_protocol.py"}
 BYTES_THAT_SPLIT = st.text("ab:/? \t\r\n\0\x7fé", max_size=12).map(str.encode)
@@ -177,3 +180,27 @@
 def test_the_search_finds_heads(source: str) -> None:
     assert find_line_ends(source) == [1]
     assert find_line_ends(f'"""A line ends with \\\\r\\\\n."""\n{source}') == [2]
+
+
+@pytest.mark.parametrize(
+    ("options", "reason"),
+    [
+        (["--set", "x\r\ny=1"], "lower-case letters"),
+        (["--set", "Upper=1"], "lower-case letters"),
+        (["--set", "x=1\r\ny: 2"], "control character"),
+        (["--model", "m\nn"], "control character"),
+        (["--host", "h\r\nx: y"], "a host"),
+    ],
+)
+def test_the_call_command_refuses_what_it_cannot_send(options: list[str], reason: str) -> None:
+    """Guards against a traceback, and against a request other than the one that the options name."""
+    required = ["call", "--port", "1", "--offering", "t", "--model", "m"]
+    result = CliRunner().invoke(commands, [*required, *options])
+    assert result.exit_code == USAGE_ERROR
+    assert reason in result.output
+
+
+def test_the_status_command_tells_an_address_that_is_none() -> None:
+    result = CliRunner().invoke(commands, ["status", "h\r\nx: y:1"])
+    assert result.exit_code == 1
+    assert "a host" in result.output
