An event that no worker could read is refused at the edge, before it is encoded

What callers saw: a client that sent events in structured mode with 20 KB in an attribute (or 100 attributes, or 3,000 characters that percent-encoding makes longer) got 503, and after four of them so did everyone: "no runner may take it now". One such client took all workers away from the others.

Cause: in structured mode the attributes are in the body, so that no limit on the header saw them. Workers closed the connection, which counts against the worker, as it must where the worker is at fault. In binary mode the edge's own five lines could take an attempt over 100 lines.

Change: edge/protocol.check_forwarded_size refuses with 413 and `attribute` what would be over head_bytes or 100 lines together with the edge's own lines.

--- a/martenlead/edge/listener.py
+++ b/martenlead/edge/listener.py
@@ -13,7 +13,7 @@
 from martenlead.edge.cancellation import UnreadInput
 from martenlead.edge.dispatcher import STOP_REASON, Dispatcher
 from martenlead.edge.http_upstream import EventContent
-from martenlead.edge.protocol import read_request
+from martenlead.edge.protocol import check_forwarded_size, encode_content, read_request
 from martenlead.edge.queue_admission import QueueAdmission
 from martenlead.edge.records import FinalOutcome, IncomingRequest, PendingRequest
 from martenlead.edge.responses import (
@@ -29,7 +29,6 @@
     Event,
     InvalidEventError,
     decode_event,
-    encode_event,
     is_structured,
 )
 from martenlead.events.http import Message, MessageLimits, Peer
@@ -93,6 +92,7 @@
         try:
             event = decode_event(message.headers, message.body)
             incoming = self._read_request(event, arrived_ns)
+            content = _to_content(message, event, self.server.limits.message)
         except InvalidEventError as error:
             dispatcher.counts["refused", error.attribute] += 1
             return invalid_event(error)
@@ -100,7 +100,6 @@
         if reason:
             dispatcher.counts["final", FinalOutcome.REJECTED.value] += 1
             return rejected_before_acceptance(reason, self._retry_after_ns)
-        content = _to_content(message, event)
         client = HttpCancellationSource(message.peer) if message.peer is not None else None
         if self.queue_admission is not None:
             return await self.queue_admission.serve(incoming, event, arrived_ns, content, client)
@@ -163,14 +162,21 @@
     )
 
 
-def _to_content(message: Message, event: Event) -> EventContent:
+def _to_content(message: Message, event: Event, limits: MessageLimits) -> EventContent:
     """Returns the event in binary mode; one received in that mode is not encoded again.
 
-    A message in structured mode may have ce- headers too, which nobody has checked.
+    A message in structured mode may have ce- headers too, which nobody has checked. Raises
+    `InvalidEventError`.
     """
     if is_structured(message.header(b"content-type")):
-        return EventContent(*encode_event(event))
-    headers = [
-        pair for pair in message.headers if pair[0][:3] == b"ce-" or pair[0] == b"content-type"
-    ]
-    return EventContent(headers, message.body)
+        content = EventContent(*encode_content(event, limits))
+    else:
+        content = EventContent(
+            [pair for pair in message.headers if _is_forwarded(pair[0])], message.body
+        )
+    check_forwarded_size(content.headers, limits)
+    return content
+
+
+def _is_forwarded(name: bytes) -> bool:
+    return name[:3] == b"ce-" or name == b"content-type"
--- a/martenlead/edge/protocol.py
+++ b/martenlead/edge/protocol.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
+
 from martenlead.edge.records import IncomingRequest
-from martenlead.events.cloudevent import Event, InvalidEventError, parse_time
+from martenlead.events.cloudevent import Event, InvalidEventError, encode_event, parse_time
+from martenlead.events.http import Headers, MessageLimits
 from martenlead.system.clocks import wall_ns
 
 LARGEST_INTEGER = 2**31 - 1
 FUNCTION_NAME_LIMIT = 200  # characters
 LANES_LIMIT = 1024
+CONTENT_TYPE = "datacontenttype"
+CONTENT_TOO_LARGE = HTTPStatus.REQUEST_ENTITY_TOO_LARGE.value
+OWN_FIELDS = 5  # Host, User-Agent, timeleftms, handoff, Content-Length: an attempt has them as well
+OWN_FIELD_BYTES = 512
+SEPARATOR_BYTES = len(b": \r\n")
 MS_PER_SECOND = 1000
 NS_PER_MS = 1e6
 
@@ -37,6 +45,44 @@
     )
 
 
+def encode_content(event: Event, limits: MessageLimits) -> tuple[Headers, bytes]:
+    """Returns headers and body of an event that was received in structured mode.
+
+    Its attributes are measured first, as no header has limited them: to encode a megabyte would
+    stop the event loop for a while. Raises `InvalidEventError`.
+    """
+    sizes = {name: len(event.text(name) or "") for name in event.attributes}
+    sizes[CONTENT_TYPE] = len(event.content_type or "")
+    _check_sizes(sizes, limits)
+    return encode_event(event)
+
+
+def check_forwarded_size(headers: Headers, limits: MessageLimits) -> None:
+    """Checks that the head of an attempt is within the limits, which workers accept as well.
+
+    A worker that cannot read an attempt would count as failed. Raises `InvalidEventError`, which
+    names the longest attribute.
+    """
+    sizes = {_attribute_name(name): len(name) + len(value) for name, value in headers}
+    _check_sizes(sizes, limits)
+
+
+def _check_sizes(sizes: dict[str, int], limits: MessageLimits) -> None:
+    field_limit = limits.header_lines - OWN_FIELDS
+    bytes_limit = limits.head_bytes - min(OWN_FIELD_BYTES, limits.head_bytes // 2)
+    total_bytes = sum(sizes.values()) + len(sizes) * SEPARATOR_BYTES
+    if len(sizes) > field_limit or total_bytes > bytes_limit:
+        longest = max(sizes, key=lambda name: sizes[name])
+        detail = f"at most {field_limit} attributes and {bytes_limit} bytes of them were expected"
+        raise InvalidEventError(longest, detail, CONTENT_TOO_LARGE)
+
+
+def _attribute_name(header: bytes) -> str:
+    if header == b"content-type":
+        return CONTENT_TYPE
+    return header.removeprefix(b"ce-").decode("latin-1")
+
+
 def _read_function(event: Event) -> str:
     name = event.text("model")
     if not name:
