Names that clients and workers invent are counted together

What operators would have seen: `martenlead_total` and `/state` with a line for each attribute name that any client ever got wrong, of up to 16 KB each, for as long as the edge lives; and for each name of 20 letters that a worker gave as the reason of a failed load.

Cause: refusals are counted by the attribute of the error, which in binary mode is any header name that begins with ce-.

Change: the attributes of the protocol are counted by name, all others as `other`; reasons of failed loads by the six names of docs/protocol.md, others as `unknown` as before. The response still names the attribute.

Measured: both tests added to tests/test_forwarded_size.py failed on the code before. The memory of a running edge was not measured.

--- a/martenlead/edge/listener.py
+++ b/martenlead/edge/listener.py
@@ -13,7 +13,12 @@
 from martenlead.edge.cancellation import UnreadInput
 from martenlead.edge.dispatcher import STOP_REASON, Dispatcher
 from martenlead.edge.http_upstream import EventContent
-from martenlead.edge.protocol import check_forwarded_size, encode_content, read_request
+from martenlead.edge.protocol import (
+    check_forwarded_size,
+    countable_attribute,
+    encode_content,
+    read_request,
+)
 from martenlead.edge.queue_admission import QueueAdmission
 from martenlead.edge.records import FinalOutcome, IncomingRequest, PendingRequest
 from martenlead.edge.responses import (
@@ -94,7 +99,7 @@
             incoming = self._read_request(event, arrived_ns)
             content = _to_content(message, event, self.server.limits.message)
         except InvalidEventError as error:
-            dispatcher.counts["refused", error.attribute] += 1
+            dispatcher.counts["refused", countable_attribute(error.attribute)] += 1
             return invalid_event(error)
         reason = self._reason_to_reject(incoming.function, len(message.body))
         if reason:
--- a/martenlead/edge/protocol.py
+++ b/martenlead/edge/protocol.py
@@ -5,7 +5,13 @@
 from http import HTTPStatus
 
 from martenlead.edge.records import IncomingRequest
-from martenlead.events.cloudevent import Event, InvalidEventError, encode_event, parse_time
+from martenlead.events.cloudevent import (
+    REQUIRED_ATTRIBUTES,
+    Event,
+    InvalidEventError,
+    encode_event,
+    parse_time,
+)
 from martenlead.events.http import Headers, MessageLimits
 from martenlead.system.clocks import wall_ns
 
@@ -17,6 +23,15 @@
 OWN_FIELDS = 5  # Host, User-Agent, timeleftms, handoff, Content-Length: an attempt has them as well
 OWN_FIELD_BYTES = 512
 SEPARATOR_BYTES = len(b": \r\n")
+COUNTED_ATTRIBUTES = frozenset(
+    {
+        *REQUIRED_ATTRIBUTES,
+        *("time", "subject", "dataschema", CONTENT_TYPE, "data", "data_base64"),
+        *("model", "customer", "lanes", "memorymb", "costms", "timeleftms", "expirytime"),
+        *("again", "appointment"),
+    }
+)
+OTHER_ATTRIBUTE = "other"
 MS_PER_SECOND = 1000
 NS_PER_MS = 1e6
 
@@ -45,6 +60,14 @@
     )
 
 
+def countable_attribute(name: str) -> str:
+    """Returns the name under which refusals for an attribute are counted.
+
+    Clients choose the names of their own attributes, and each would be a counter of its own.
+    """
+    return name if name in COUNTED_ATTRIBUTES else OTHER_ATTRIBUTE
+
+
 def encode_content(event: Event, limits: MessageLimits) -> tuple[Headers, bytes]:
     """Returns headers and body of an event that was received in structured mode.
 
--- a/martenlead/upstream/exchange_classifier.py
+++ b/martenlead/upstream/exchange_classifier.py
@@ -67,7 +67,8 @@
     HTTPStatus.SERVICE_UNAVAILABLE.value,
 )
 LOAD_FAILURE_STATUSES = (NOT_FOUND, HTTPStatus.SERVICE_UNAVAILABLE.value)
-LOAD_FAILURE_LENGTH = 20  # characters of the longest name that is counted under itself
+LOAD_FAILURES = frozenset({"vault-away", "corrupt", "missing", "no-room", "late", "agent-away"})
+UNKNOWN_LOAD_FAILURE = "unknown"
 
 
 def classify_attempt(exchange: Exchange) -> UpstreamOutcome:
@@ -120,12 +121,10 @@
 def parse_load_failure(message: Message) -> str:
     """Returns the name of the reason why a load failed, empty if the response states none.
 
-    A name that is too long, or not of letters and dashes, becomes `unknown`, since names are
-    counted.
+    A name that the protocol does not have becomes `unknown`, since names are counted.
     """
     name = (message.header(LOAD_FAILURE_HEADER) or b"").decode("latin-1")
-    is_countable = len(name) <= LOAD_FAILURE_LENGTH and name.replace("-", "").isalpha()
-    return name if not name or is_countable else "unknown"
+    return name if not name or name in LOAD_FAILURES else UNKNOWN_LOAD_FAILURE
 
 
 def classify_load_request(exchange: Exchange) -> tuple[Result, str]:
--- a/tests/test_forwarded_size.py
+++ b/tests/test_forwarded_size.py
@@ -11,7 +11,9 @@
 from martenlead.events import cloudevent
 from martenlead.events.client import Exchange
 from martenlead.events.cloudevent import Event, encode_event
-from martenlead.events.http import MessageLimits, request
+from martenlead.events.http import Message, MessageLimits, request
+from martenlead.layers.choice import Failure
+from martenlead.upstream.exchange_classifier import LOAD_FAILURE_HEADER, parse_load_failure
 from support.fleet import EdgeRig, respond_ok, run_edge
 
 STRUCTURED = [(b"content-type", b"application/cloudevents+json")]
@@ -83,3 +85,27 @@
         exchange = await post(rig, STRUCTURED, body)
         assert exchange.message is not None and exchange.message.status == 413
         assert max(longest, default=0) < LIMITS.head_bytes
+
+
+@pytest.mark.anyio
+async def test_names_that_clients_invent_are_counted_together() -> None:
+    """Guards against metrics and memory that grow with each new name that a client invents."""
+    names = [b"%04d" % number for number in range(50)]
+    async with run_edge({"a": [respond_ok]}) as rig:
+        for name in names:
+            exchange = await post(rig, [(b"ce-_" + name, b"1")], b"")
+            assert exchange.message is not None and exchange.message.status == 400
+            assert json.loads(exchange.message.body)["attribute"] == f"_{name.decode()}"
+        counts = rig.dispatcher.counts
+        assert [name for kind, name in counts if kind == "refused"] == ["other"]
+        assert counts["refused", "other"] == len(names)
+
+
+def test_names_of_load_failures_are_those_of_the_protocol() -> None:
+    """Guards against a counter for each name that a worker invents."""
+    for name in Failure:
+        message = Message(headers=[(LOAD_FAILURE_HEADER, name.value.encode())])
+        assert parse_load_failure(message) == name.value
+    for invented in (b"abcd", b"x" * 30, b"\xe9"):
+        assert parse_load_failure(Message(headers=[(LOAD_FAILURE_HEADER, invented)])) == "unknown"
+    assert parse_load_failure(Message()) == ""
