--- a/martenlead/edge/protocol.py
+++ b/martenlead/edge/protocol.py
@@ -12,6 +12,7 @@
     encode_event,
     parse_time,
 )
+from martenlead.events.head import FIELD_OVERHEAD_BYTES
 from martenlead.events.http import Headers, MessageLimits
 from martenlead.system.clocks import wall_ns
 
@@ -22,7 +23,6 @@
 CONTENT_TOO_LARGE = HTTPStatus.REQUEST_ENTITY_TOO_LARGE.value
 OWN_FIELDS = 5  # Host, User-Agent, timeleftms, handoff, Content-Length: an attempt has them as well
 OWN_FIELD_BYTES = 512
-SEPARATOR_BYTES = len(b": \r\n")
 COUNTED_ATTRIBUTES = frozenset(
     {
         *REQUIRED_ATTRIBUTES,
@@ -93,7 +93,7 @@
 def _check_sizes(sizes: dict[str, int], limits: MessageLimits) -> None:
     field_limit = limits.header_lines - OWN_FIELDS
     bytes_limit = limits.head_bytes - min(OWN_FIELD_BYTES, limits.head_bytes // 2)
-    total_bytes = sum(sizes.values()) + len(sizes) * SEPARATOR_BYTES
+    total_bytes = sum(sizes.values()) + len(sizes) * FIELD_OVERHEAD_BYTES
     if len(sizes) > field_limit or total_bytes > bytes_limit:
         longest = max(sizes, key=lambda name: sizes[name])
         detail = f"at most {field_limit} attributes and {bytes_limit} bytes of them were expected"
--- a/martenlead/events/cloudevent.py
+++ b/martenlead/events/cloudevent.py
@@ -23,7 +23,8 @@
 STRUCTURED_MEDIA_TYPE = b"application/cloudevents+json"
 BATCH_MEDIA_TYPE = b"application/cloudevents-batch"
 ACCEPTED_MEDIA_TYPES = b"application/cloudevents+json, any other content type with ce- headers"
-ATTRIBUTE_NAME = re.compile(r"[a-z0-9]{1,64}\Z")
+ATTRIBUTE_NAME_LENGTH = 64
+ATTRIBUTE_NAME = re.compile(rf"[a-z0-9]{{1,{ATTRIBUTE_NAME_LENGTH}}}\Z")
 RFC3339_TIME = re.compile(r"\d{4}-\d\d-\d\d[Tt]\d\d:\d\d:\d\d(\.\d+)?([Zz]|[+-]\d\d:\d\d)\Z")
 RESERVED_NAMES = frozenset({"data", "data_base64"})
 REQUIRED_ATTRIBUTES = ("specversion", "id", "source", "type")
@@ -84,6 +85,18 @@
 
 def check_event(event: Event) -> Event:
     """The event, if its attributes are valid. Raises `InvalidEventError`."""
+    for name in event.attributes:
+        if not ATTRIBUTE_NAME.match(name):
+            raise _invalid_name(name)
+    return _check_attributes(event)
+
+
+def _invalid_name(name: str) -> InvalidEventError:
+    detail = "attribute names are lower-case letters and digits"
+    return InvalidEventError(name[:ATTRIBUTE_NAME_LENGTH], detail)
+
+
+def _check_attributes(event: Event) -> Event:
     attributes = event.attributes
     _check_texts(attributes)
     if event.content_type is not None and not is_media_type(event.content_type):
@@ -104,9 +117,10 @@
 
 
 def _check_texts(attributes: dict[str, AttributeValue]) -> None:
+    texts = [value for value in attributes.values() if isinstance(value, str)]
+    if CONTROL_CHARACTERS.search("".join(texts)) is None:
+        return
     for name, value in attributes.items():
-        if not ATTRIBUTE_NAME.match(name):
-            raise InvalidEventError(name[:64], "attribute names are lower-case letters and digits")
         if isinstance(value, str) and CONTROL_CHARACTERS.search(value):
             raise InvalidEventError(name, "a control character is not allowed")
 
@@ -146,7 +160,7 @@
     """The attribute name of a ce- header, cached as most events have the same few."""
     key = name[3:].decode("latin-1")
     if not ATTRIBUTE_NAME.match(key):
-        raise InvalidEventError(key, "attribute names are lower-case letters and digits")
+        raise _invalid_name(key)
     if key == "datacontenttype" or key in RESERVED_NAMES:
         raise InvalidEventError(key, "not a header of binary mode")
     return key
@@ -175,7 +189,7 @@
         except UnicodeDecodeError:
             raise InvalidEventError("datacontenttype", "not ASCII") from None
     has_data = bool(body) or content_type is not None
-    return check_event(Event(attributes, body if has_data else None, text))
+    return _check_attributes(Event(attributes, body if has_data else None, text))
 
 
 def is_structured(content_type: bytes | None) -> bool:
@@ -227,7 +241,7 @@
         else:
             value = _decode_member("data", members["data"])
             data = value.encode() if isinstance(value, str) else data
-    return check_event(Event(attributes, data, content_type))
+    return _check_attributes(Event(attributes, data, content_type))
 
 
 def _decode_members(body: bytes) -> dict[str, msgspec.Raw]:
@@ -253,6 +267,8 @@
     for name, raw in members.items():
         if name in RESERVED_NAMES:
             continue
+        if not ATTRIBUTE_NAME.match(name):
+            raise _invalid_name(name)
         value = _decode_member(name, raw)
         if value is None:
             continue  # JSON format 1.0.2, section 2.2: null is the same as absent
--- a/martenlead/events/head.py
+++ b/martenlead/events/head.py
@@ -19,6 +19,7 @@
 """Encoded field lines, each with its line end."""
 
 NO_FIELDS = FieldLines(b"")
+FIELD_OVERHEAD_BYTES = len(b": \r\n")  # of a field line beside its name and its value
 LAST_CHUNK = b"0\r\n\r\n"
 FRAMING_NAMES = frozenset({b"host", b"content-length", b"transfer-encoding"})  # written here alone
 NAME_CHARACTERS = (string.ascii_lowercase + string.digits + "!#$%&'*+-.^_`|~").encode()
