Nothing is sent to a worker that drains while a connection to it is opened

Cause: HttpUpstream._may_send asked about the request as the connection came up, and nothing about the worker; load requests were not asked about at all.

Change: as the bytes leave, both are withheld unless the worker is up and its address is still that of the connection. That is `not sent`, so that requests of every class may go elsewhere or are rejected.

--- a/martenlead/edge/http_upstream.py
+++ b/martenlead/edge/http_upstream.py
@@ -138,7 +138,7 @@
         if not self._has_client(attempt):
             self._end_unsent(attempt, "its client has left")
             return
-        progress = SendProgress(lambda: self._may_send(attempt))
+        progress = SendProgress(lambda: self._may_send(attempt, connections))
         exchange: Exchange | None = None
         attempt.link_handle.deadline = anyio.current_time() + left_ns / NS_PER_SECOND
         try:
@@ -154,10 +154,13 @@
             self._unsent.discard(attempt)
             self.dispatcher.attempt_ended(attempt, outcome)
 
-    def _may_send(self, attempt: InFlightAttempt) -> bool:
+    def _may_send(self, attempt: InFlightAttempt, connections: WorkerConnections) -> bool:
         """Whether an attempt may be sent now; if so, it counts as sent from then on."""
         may_begin = self.dispatcher.clock() <= attempt.policy_attempt.begin_by_ns
-        if attempt not in self._unsent or not may_begin or not self._has_client(attempt):
+        is_over = attempt not in self._unsent or not may_begin
+        if is_over or not _accepts_work(attempt.worker, connections):
+            return False
+        if not self._has_client(attempt):
             return False
         self._unsent.discard(attempt)
         return True
@@ -247,7 +250,9 @@
         timeout_seconds = self.settings.functions.load_timeout_ms / MS_PER_SECOND
         try:
             with anyio.move_on_after(timeout_seconds):
-                exchange = await connections.pool.exchange(data)
+                exchange = await connections.pool.exchange(
+                    data, SendProgress(lambda: _accepts_work(worker, connections))
+                )
                 result, reason = exchange_classifier.classify_load_request(exchange)
                 outcome.result, outcome.reason = result, reason
                 outcome.replicas = load_requests.parse_replica_count(exchange)
@@ -282,6 +287,14 @@
             self.dispatcher.record_fault(error)
 
 
+def _accepts_work(worker: UpstreamWorker, connections: WorkerConnections) -> bool:
+    """Whether a worker accepts work on these connections: it is up, and still at their address.
+
+    It may have begun to drain, or gone, while a connection was opened (rule 3).
+    """
+    return worker.is_up and worker.connections is connections
+
+
 def _load_report(message: http.Message) -> dict[str, float]:
     header = message.header(exchange_classifier.LOAD_REPORT_HEADER)
     return load_requests.parse_load_report(header)
