What a worker sends without a request ends its connection soon, and is counted

Before, an answer on an idle connection was found when the connection was wanted next, and counted in the pool alone, which nothing showed.

Change: idle connections are looked at every two seconds; one that has received something or has been idle for 15 s is closed. What arrived without a request, and bytes behind an answer, are counted as `stray` in /state and the metrics.

--- a/martenlead/edge/http_upstream.py
+++ b/martenlead/edge/http_upstream.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 import anyio
+import anyio.lowlevel
 from anyio.abc import TaskGroup
 
 from martenlead.config.edge import EdgeSettings, ms_to_ns
@@ -30,6 +31,8 @@
 
 REWRITTEN_HEADERS = frozenset({b"ce-timeleftms", b"ce-handoff"})
 DRAINING_STATE = b"draining"
+IDLE_CHECK_SECONDS = 2.0
+WORKERS_PER_STEP = 64  # between two of them other tasks run
 MS_PER_SECOND = 1000
 NS_PER_MS = 1_000_000
 NS_PER_SECOND = 1e9
@@ -47,7 +50,9 @@
 class WorkerConnections:
     """The connections to one worker."""
 
-    def __init__(self, endpoint: Endpoint, settings: EdgeSettings) -> None:
+    def __init__(
+        self, endpoint: Endpoint, settings: EdgeSettings, on_stray_response: Callable[[], None]
+    ) -> None:
         limits = settings.limits
         self.host = encode_authority(endpoint.host, endpoint.port)
         self.pool = Pool(
@@ -56,6 +61,7 @@
             connection_limit=limits.worker_connections,
             connect_timeout_ns=ms_to_ns(limits.connect_ms),
             limits=http.MessageLimits(limits.head_bytes, limits.body_bytes),
+            on_stray_response=on_stray_response,
         )
 
     @property
@@ -88,18 +94,38 @@
     async def run(self) -> None:
         """Runs the tasks of all exchanges, and sends health checks if they are configured."""
         async with anyio.create_task_group() as self.group:
+            self.group.start_soon(self._close_unusable_connections)
             if self.settings.probes:
                 await self._probe_all(ms_to_ns(self.settings.probes.every_ms))
             await anyio.sleep_forever()
 
     def create_connections(self, endpoint: Endpoint) -> WorkerConnections:
         """Creates the connection pool of a worker, without opening a connection."""
-        return WorkerConnections(endpoint, self.settings)
+        return WorkerConnections(endpoint, self.settings, self._count_stray_response)
 
     def retire_connections(self, connections: WorkerConnections) -> None:
         """Closes idle connections now, and the others when their exchange ends."""
         self.group.start_soon(connections.pool.close)
 
+    def _count_stray_response(self) -> None:
+        self.dispatcher.counts["stray", "response"] += 1
+
+    async def _close_unusable_connections(self) -> None:
+        """Closes idle connections that received something, so that it is seen without a request."""
+        while True:
+            await anyio.sleep(IDLE_CHECK_SECONDS)
+            workers = list(self.dispatcher.membership.workers.values())
+            for number, worker in enumerate(workers):
+                await self._close_unusable(worker.connections)
+                if number % WORKERS_PER_STEP == 0:
+                    await anyio.lowlevel.checkpoint()
+
+    async def _close_unusable(self, connections: WorkerConnections) -> None:
+        try:
+            await connections.pool.close_unusable()
+        except Exception as error:  # the connections of other workers are looked at all the same
+            self.dispatcher.record_fault(error)
+
     # -- attempts
 
     def send_attempt(self, attempt: InFlightAttempt) -> None:
--- a/martenlead/events/client.py
+++ b/martenlead/events/client.py
@@ -116,9 +116,10 @@
 class Pool:
     """Connections to one peer.
 
-    An idle connection is reused within `idle_timeout_ns` if nothing was received on it. A peer can
-    still close it just as a request is written: the exchange then ends with `CLOSED`, and it is
-    unknown whether the request was read.
+    An idle connection is reused within `idle_timeout_ns` if nothing was received on it; others are
+    closed when one is looked for, and by `close_unusable`. A peer can still close one just as a
+    request is written: the exchange then ends with `CLOSED`, and it is unknown whether the request
+    was read.
     """
 
     def __init__(
@@ -130,6 +131,7 @@
         idle_timeout_ns: int = 15 * SECOND_NS,
         connect_timeout_ns: int = SECOND_NS // 4,
         limits: MessageLimits | None = None,
+        on_stray_response: Callable[[], None] = lambda: None,
     ) -> None:
         self.host, self.port = host, port
         self.connection_limit = connection_limit
@@ -139,6 +141,7 @@
         self.open_connections = 0
         self.connections_opened = 0
         self.stray_responses = 0  # Responses or other bytes without a request
+        self._on_stray_response = on_stray_response
         self._idle: list[_Connection] = []
 
     async def exchange(
@@ -180,14 +183,26 @@
         """An idle connection that is still usable, or None; closes those that are not."""
         while self._idle:
             connection = self._idle.pop()
-            is_stale = connection.is_stale()
-            if not is_stale and monotonic_ns() - connection.idle_since_ns < self.idle_timeout_ns:
+            if self._is_usable(connection):
                 return connection
-            self.open_connections -= 1
-            self.stray_responses += is_stale and connection.has_stray_bytes()
-            await connection.close()
+            await self._close_idle(connection)
         return None
 
+    def _is_usable(self, connection: _Connection) -> bool:
+        is_recent = monotonic_ns() - connection.idle_since_ns < self.idle_timeout_ns
+        return is_recent and not connection.is_stale()
+
+    async def _close_idle(self, connection: _Connection) -> None:
+        """Closes a connection that is no longer in `_idle`, and counts what it has received."""
+        self.open_connections -= 1
+        if connection.is_stale() and connection.has_stray_bytes():
+            self._count_stray_response()
+        await connection.close()
+
+    def _count_stray_response(self) -> None:
+        self.stray_responses += 1
+        self._on_stray_response()
+
     async def _connect(self) -> _Connection | Exchange:
         """Opens a connection; if that fails, no byte of a request has been sent."""
         try:
@@ -244,16 +259,26 @@
         surplus = response.classify_surplus()
         if message is None or surplus is Surplus.NONE:
             return Exchange(ExchangeEnd.ANSWERED, message)
-        self.stray_responses += 1
+        self._count_stray_response()
         if surplus is Surplus.OTHER:
             return Exchange(ExchangeEnd.OVERRUN, detail=response.detail)
         message.keep_alive = False
         return Exchange(ExchangeEnd.ANSWERED, message)
 
+    async def close_unusable(self) -> None:
+        """Closes idle connections that have received something or were idle for too long."""
+        if not self._idle:
+            return
+        idle, self._idle = self._idle, []
+        unusable: list[_Connection] = []
+        for connection in idle:
+            kept = self._idle if self._is_usable(connection) else unusable
+            kept.append(connection)
+        for connection in unusable:
+            await self._close_idle(connection)
+
     async def close(self) -> None:
         """Closes the idle connections; running exchanges close the others."""
         idle, self._idle = self._idle, []
         for connection in idle:
-            self.open_connections -= 1
-            self.stray_responses += connection.is_stale() and connection.has_stray_bytes()
-            await connection.close()
+            await self._close_idle(connection)
