Interim responses without end behind an answer do not keep it back

A worker that sends interim responses behind its whole answer kept the edge reading until the attempt's time was over; where they stopped in time, the line ends of the last one were taken for a rest of the body, and the answer was refused as OVERRUN.

Change: at most eight reads are made behind an answer, the reader tells whether the last message was an interim response, and interim responses behind an answer count as further responses: it is passed on, its connection ends.

--- a/martenlead/events/http.py
+++ b/martenlead/events/http.py
@@ -108,6 +108,7 @@
         self.completed: list[Message] = []
         self.expects_continue = False  # the peer waits for `100 Continue` before it sends the body
         self.in_head = self.in_message = False
+        self.ends_with_interim = False  # the last complete message was an interim response
         self._field_bytes = 0  # names and values of the header and the trailer
         self._trailer_lines = 0
         # Received since the message began, its head was complete or its body last grew
@@ -273,7 +274,8 @@
         self._body.clear()
         self._message = Message()
         self.in_head = self.in_message = self.expects_continue = False
-        if not self.requests and CONTINUE <= message.status < OK:
+        self.ends_with_interim = not self.requests and CONTINUE <= message.status < OK
+        if self.ends_with_interim:
             return
         self.completed.append(message)
 
--- a/martenlead/events/response.py
+++ b/martenlead/events/response.py
@@ -12,6 +12,7 @@
 
 NEWLINES = b"\r\n"
 HEAD_END_BYTES = len(b"\r\n\r\n")
+MAX_READS_BEHIND = 8  # a peer may send interim responses without end
 
 
 class Surplus(Enum):
@@ -25,7 +26,15 @@
 class ResponseAssembler:
     """Takes what is received on a connection from one request until its response is complete."""
 
-    __slots__ = ("_further_responses", "_last", "_newline_run", "_reader", "detail", "message")
+    __slots__ = (
+        "_further_responses",
+        "_last",
+        "_newline_run",
+        "_reader",
+        "_reads_behind",
+        "detail",
+        "message",
+    )
 
     def __init__(self, reader: Reader) -> None:
         self.message: Message | None = None  # the response, once it is complete
@@ -33,12 +42,14 @@
         self._reader = reader
         self._newline_run = 0  # CR and LF bytes at the end of what was received
         self._further_responses = 0
+        self._reads_behind = 0  # reads since the response was complete
         self._last: Message | None = None  # the last complete message
 
     @property
     def is_decided(self) -> bool:
-        """Whether further bytes would change nothing."""
-        return bool(self.detail) or self._further_responses > 0
+        """Whether further bytes would change nothing, or too many have come already."""
+        is_known = bool(self.detail) or self._further_responses > 0
+        return is_known or self._reads_behind >= MAX_READS_BEHIND
 
     def feed(self, data: bytes) -> None:
         """Adds received bytes.
@@ -46,6 +57,7 @@
         Raises:
             InvalidMessageError: The bytes are not a response, and none was complete before.
         """
+        self._reads_behind += self.message is not None
         try:
             completed = self._reader.feed(data)
         except InvalidMessageError as error:
@@ -68,9 +80,14 @@
             return Surplus.OTHER
         if self._reader.in_message:
             return Surplus.RESPONSES
-        if self._newline_run > _count_own_newlines(self._last):
+        own_newlines = HEAD_END_BYTES
+        if not self._reader.ends_with_interim:
+            own_newlines = _count_own_newlines(self._last)
+        if self._newline_run > own_newlines:
             return Surplus.OTHER  # the parser skips empty lines behind a message
-        return Surplus.RESPONSES if self._further_responses else Surplus.NONE
+        if self._further_responses or self._reader.ends_with_interim:
+            return Surplus.RESPONSES
+        return Surplus.NONE
 
 
 def count_newlines_at_end(data: bytes) -> int:
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -51,7 +51,7 @@
 
 @pytest.mark.parametrize(("idle_timeout_ns", "left"), [(0, 0), (60 * SECOND_NS, 1)])
 async def test_connections_that_are_idle_for_too_long_are_closed(idle_timeout_ns: int, left: int) -> None:
-    """Guards against connections that stay open although nothing needs them, and against closing good ones."""
+    """Guards against connections that stay open without need, and against closing good ones."""
     async with run_edge({"a": [respond_ok]}) as rig:
         pool = Pool("127.0.0.1", rig.workers["a"].port, idle_timeout_ns=idle_timeout_ns)
         await pool.exchange(request(b"POST", b"/", b"w", []))
--- a/tests/test_response_surplus.py
+++ b/tests/test_response_surplus.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from martenlead.events.client import Exchange, ExchangeEnd, Pool, SendProgress
-from martenlead.events.head import LAST_CHUNK, encode_chunk
+from martenlead.events.head import LAST_CHUNK, encode_chunk, encode_interim_response
 from martenlead.events.http import InvalidMessageError, MessageLimits, Reader, response
 from martenlead.events.response import ResponseAssembler, Surplus
 from martenlead.policy.types import Result
@@ -23,6 +23,7 @@
 GOOD = response(200, [], b"payment 125")
 CLOSING = response(200, [(b"connection", b"close")], b"payment 125")
 CHUNKED = response(200, [], None) + encode_chunk(b"payment 125") + LAST_CHUNK
+INTERIM = encode_interim_response(103)
 SURPLUSES = {
     "the rest of the body": GOOD + b"0 dollars",
     "the last newline of the body": GOOD + b"\n",
@@ -127,6 +128,18 @@
     assert pool.stray_responses == 0
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("first", [GOOD, GOOD + INTERIM, CHUNKED + INTERIM])
+async def test_interim_responses_without_end_do_not_keep_an_answer_back(first: bytes) -> None:
+    """Guards against an answer that is lost as its worker goes on sending until the time is over."""
+    parts = [first, *[INTERIM * 100] * 1000]
+    exchange, pool = await play(parts)
+    assert exchange.end is ExchangeEnd.ANSWERED and exchange.message is not None
+    assert (exchange.message.body, exchange.message.keep_alive) == (b"payment 125", False)
+    assert len(parts) >= 990
+    assert pool.stray_responses == 1
+
+
 def test_bytes_that_are_no_response_are_invalid() -> None:
     assembler = ResponseAssembler(Reader(MessageLimits(), requests=False))
     with pytest.raises(InvalidMessageError):
