A server's connection is read only as far as its handler asks for

Cause: anyio's SocketStream stops the event loop from reading only behind a receive() that had to wait. A stream that connect_tcp opens begins paused, one that wraps an accepted socket does not; while a client always has bytes, no receive ever waits, and all goes to the stream's read queue. Evidence: 94 MB lay in the queue of each of three connections that were looked at; slots, read-ahead and write buffers were at their limits.

The listener pauses the transport as it wraps the socket. That listener is the one of all programs that serve HTTP or the planner's link (edge, admin ports, planner, layers agent), so that the fault is mended in all of them. anyio has no public call for it: the transport is reached by a private attribute.

--- a/martenlead/events/stream_listener.py
+++ b/martenlead/events/stream_listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -74,6 +75,7 @@
         """Starts the handler of an accepted connection."""
         try:
             stream = await SocketStream.from_socket(connection)
+            _pause_reading(stream)
         except ValueError:  # raised by anyio if the connection was reset in the meantime
             connection.close()
             return
@@ -139,6 +141,17 @@
         await anyio.lowlevel.checkpoint()
 
 
+def _pause_reading(stream: SocketStream) -> None:
+    """Stops the event loop from reading until `receive` waits for bytes.
+
+    anyio does so for connections that it opens, but a stream that wraps a socket goes on reading,
+    and keeps what it reads without a limit, until a `receive` had to wait.
+    """
+    transport: asyncio.Transport = stream._transport  # type: ignore[attr-defined]
+    if not transport.is_closing():
+        transport.pause_reading()
+
+
 async def listen(host: str, port: int) -> tuple[StreamListener, int]:
     """Opens a listener; returns it and its port. Port 0 selects a free one.
 
