A client's messages take turns: one read no longer holds up all other clients of a node

Cause: uvloop reads up to 256,000 bytes at a time and up to 32 times in a row while reads are full, and ClientConnection.data_received handled each read whole. 256,000 bytes are some 3,000 pings of 85 bytes with a write each, so that one connection took the loop for seconds. Evidence: one flooding client is enough; usual clients on connections of their own wait; memory stays level, and the flooding clients read all they get. Class: work of unbounded length in one callback.

Messages that wait count as unread input, so that no attempt is sent before a cancel among them was seen. The last reads of a shutdown take turns as well, within 100 ms.

--- a/martenlead/edge/dispatcher.py
+++ b/martenlead/edge/dispatcher.py
@@ -27,6 +27,7 @@
 from martenlead.edge.event_loop_lag import EventLoopLag
 from martenlead.edge.function_table import FunctionTable
 from martenlead.edge.interfaces import MembershipSource, UpstreamLink
+from martenlead.edge.late_responses import LateResponses
 from martenlead.edge.load_requester import LoadRequester
 from martenlead.edge.membership import Membership
 from martenlead.edge.policy_boundary import PolicyBoundary, Recorder
@@ -121,6 +122,9 @@
         # bound here to avoid another call layer
         self.defer, self._decide, self._run_due = loop.defer, loop.decide, loop.run_due
         self.event_loop_lag = EventLoopLag(self.clock, policy_settings.tick_ns, self._set_tick)
+        self._late_responses = LateResponses(
+            self.counts, settings.name, lambda: self.event_loop_lag.tick_ns
+        )
 
     def _make_tables(self) -> None:
         """Creates membership, functions and load requests, and makes their tables attributes."""
@@ -289,7 +293,10 @@
         if outcome is not None:
             self.counts["final", outcome.value] += 1
             if outcome is not FinalOutcome.CLIENT_LEFT:
-                left_ns = policy_request.deadline_ns - self.clock()
+                now_ns = self.clock()
+                left_ns = policy_request.deadline_ns - now_ns
+                if left_ns < 0:
+                    self._late_responses.record(request, policy_request, outcome, now_ns)
                 least_ns = self.least_time_left_ns
                 self.least_time_left_ns = left_ns if least_ns is None else min(least_ns, left_ns)
         final = outcome.value if outcome is not None else ""
--- a/martenlead/edge/event_loop_lag.py
+++ b/martenlead/edge/event_loop_lag.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 import anyio
+import structlog
 
 SAMPLE_INTERVAL_NS = 10_000_000
 WINDOW_NS = 1_000_000_000  # maximum age of the samples that determine the tick
@@ -23,6 +24,8 @@
 SAMPLE_LIMIT = 64  # kept for `earliest_arrival`, which is called soon after a read
 # Shorter waits in the kernel are ignored: well within the tolerance of a forwarded deadline.
 UNREMARKABLE_WAIT_NS = 60_000_000
+STALL_NS = 250_000_000  # a longer lag is logged: it takes a large part of the time of a request
+NS_PER_MS = 1_000_000
 
 
 class EventLoopLag:
@@ -41,6 +44,7 @@
         self._least_ns, self._report = least_tick_ns, report
         self._lags: deque[tuple[int, int]] = deque()  # (time, lag) of each sample in the window
         self._since_report = 0
+        self._log = structlog.get_logger()
         self._samples: deque[int] = deque(maxlen=SAMPLE_LIMIT)  # times of the last samples
 
     def earliest_arrival(self, read_ns: int) -> int:
@@ -71,6 +75,8 @@
     def _add_sample(self, now_ns: int, lag_ns: int) -> None:
         """Adds a sample. Reports a higher tick at once, a lower one only after some samples."""
         self.worst_ns = max(self.worst_ns, lag_ns)
+        if lag_ns > STALL_NS:
+            self._log.warning("event_loop_stalled", lag_ms=lag_ns // NS_PER_MS)
         self._lags.append((now_ns, lag_ns))
         while self._lags[0][0] <= now_ns - WINDOW_NS:
             self._lags.popleft()
--- a/martenlead/node/client_connection.py
+++ b/martenlead/node/client_connection.py
@@ -8,7 +8,9 @@
 
 import asyncio
 import os
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any, Protocol
 
 from martenlead.edge.cancellation import UnreadInput
@@ -22,6 +24,7 @@
     encode_error,
 )
 from martenlead.node.graceful_close import LAST_READS_NS, NS_PER_MS, GracefulClose
+from martenlead.node.input_scheduler import InputScheduler
 from martenlead.node.sockets import readable
 from martenlead.system.sender import Sender
 
@@ -44,15 +47,20 @@
 # Size and number of the reads of one call of `read_unread_input`
 READ_BYTES = 262_144
 READS_PER_TURN = 4
+# Messages that a connection handles in one turn, and as they are read: within the limit of open
+# requests, a client that cancels each of them does not exceed it
+MESSAGES_PER_TURN = 64
+# A connection that handles more messages as they are read in this time takes turns with others
+QUOTA_WINDOW_NS = 50 * NS_PER_MS
 
 
 class MessageHandler(Protocol):
     """Handles the messages of clients."""
 
     def handle_messages(
-        self, connection: ClientConnection, messages: list[bytes], arrived_ns: int
+        self, connection: ClientConnection, messages: list[bytes], arrived_ns: int, read_ns: int
     ) -> None:
-        """Handles the messages of one read."""
+        """Handles messages of one read."""
 
     def abandon_request(self, request: PendingRequest) -> None:
         """Ends a request whose client no longer waits for the response."""
@@ -62,6 +70,7 @@
     """The part of the accepting listener that a connection uses."""
 
     dispatcher: Dispatcher
+    input_scheduler: InputScheduler
     closing: dict[ClientConnection, int]
     on_connection_closed: Callable[[], None]
 
@@ -84,6 +93,12 @@
         self.transport: Any = None  # asyncio's or uvloop's
         self.sender: Sender
         self.decoder = MessageDecoder()
+        # Messages of the last read that were not handled yet; nothing is read meanwhile.
+        self._waiting: deque[bytes] = deque()
+        self._framing_error_text = ""  # of what follows them; empty if it is valid
+        self._read_ns = self._arrived_ns = 0  # when they were read, and may have arrived
+        self._window_start_ns = 0  # of the quota
+        self._handled_in_window = 0
         self.open_requests: dict[int, PendingRequest] = {}
         self.counted_until_ns: list[int] = []  # when ended requests stop counting as open
         self.last_number = 0
@@ -115,10 +130,16 @@
         """Handles the messages that are now complete."""
         if self.is_closed:
             return
+        with self._reading():
+            self._process(data, self.listener.dispatcher.clock())
+
+    @contextmanager
+    def _reading(self) -> Iterator[None]:
+        """Marks that messages are being handled; a fault of this program closes this connection."""
         self.is_reading = True
         try:
-            self._process(data, self.listener.dispatcher.clock())
-        except Exception as error:  # a fault of this program closes only this connection
+            yield
+        except Exception as error:
             self.listener.dispatcher.record_fault(error)
             self._stop_decoding()
             self.begin_graceful_close()
@@ -131,28 +152,79 @@
     def _process(self, data: bytes, now_ns: int) -> None:
         if self.is_unreadable:
             return
-        framing_error_text = ""
         try:
             messages = self.decoder.feed(data)
         except FramingError as error:
-            messages, framing_error_text = error.complete_messages, error.detail
-        arrived_ns = self._earliest_arrival_ns(now_ns, len(data))
-        self.listener.requests.handle_messages(self, messages, arrived_ns)
+            messages, self._framing_error_text = error.complete_messages, error.detail
+        self._arrived_ns, self._read_ns = self._earliest_arrival_ns(now_ns, len(data)), now_ns
         if messages:
             self.last_read_ns = now_ns
         if not self.decoder.has_partial_message:
             self.partial_since_ns = 0
         elif messages or not self.partial_since_ns:
             self.partial_since_ns = now_ns
-        if framing_error_text:
-            self.write(encode_error(None, INVALID_REQUEST, framing_error_text))
+        if self._waiting:  # read before one of its attempts
+            self._waiting.extend(messages)
+            return
+        quota = self._remaining_quota(now_ns)
+        self._handled_in_window += min(quota, len(messages))
+        if len(messages) <= quota:
+            self._handle_messages(messages)
+            return
+        self._waiting.extend(messages[quota:])
+        # what follows lies unread from now on
+        self.unread_since_ns = self.unread_since_ns or now_ns
+        self._handle_messages(messages[:quota])
+        if not self.is_closed:
+            self._update_reading()
+            self.listener.input_scheduler.add(self)
+
+    def _remaining_quota(self, now_ns: int) -> int:
+        """Returns how many messages may be handled as they are read."""
+        if now_ns - self._window_start_ns > QUOTA_WINDOW_NS:
+            self._window_start_ns, self._handled_in_window = now_ns, 0
+        return max(0, MESSAGES_PER_TURN - self._handled_in_window)
+
+    def _handle_messages(self, messages: list[bytes]) -> None:
+        """Handles messages of the last read; behind the last one, reports an invalid rest."""
+        self.listener.requests.handle_messages(self, messages, self._arrived_ns, self._read_ns)
+        if self._framing_error_text and not self._waiting:
+            self.write(encode_error(None, INVALID_REQUEST, self._framing_error_text))
             self._stop_decoding()
             self.begin_graceful_close()
 
+    # -- messages that wait for their turn
+
+    @property
+    def waiting_messages(self) -> int:
+        """The number of messages that were read and wait to be handled."""
+        return len(self._waiting)
+
+    @property
+    def peer_address(self) -> str:
+        """The client's address and port."""
+        return ":".join(str(part) for part in self.transport.get_extra_info("peername") or ())
+
+    def handle_next_messages(self) -> None:
+        """Handles the messages of one turn, and reads on behind the last that waits."""
+        if self.is_closed:
+            self._waiting.clear()
+            return
+        with self._reading():
+            messages = [
+                self._waiting.popleft() for _ in range(min(MESSAGES_PER_TURN, len(self._waiting)))
+            ]
+            self._handle_messages(messages)
+        self._update_reading()
+
     def _stop_decoding(self) -> None:
         """Ignores all further input, as message boundaries are unknown."""
         self.is_unreadable = True
+        self._discard_input()
+
+    def _discard_input(self) -> None:
         self.decoder.discard()
+        self._waiting.clear()
 
     def _earliest_arrival_ns(self, now_ns: int, size_bytes: int) -> int:
         """Returns the earliest time at which the bytes just read may have arrived."""
@@ -169,7 +241,7 @@
     def connection_lost(self, _error: Exception | None) -> None:
         """Unregisters the connection from its listener."""
         self.is_closed = True
-        self.decoder.discard()
+        self._discard_input()
         self.graceful_close = None  # it refers to this connection: a reference cycle
         self.listener.remove_connection(self)
         self.listener.closing.pop(self, None)
@@ -178,31 +250,32 @@
     def pause_writing(self) -> None:
         """Keeps reading, as a cancel or an EOF may arrive, unless the connection is closing."""
         self.write_blocked_since_ns = self.listener.dispatcher.clock()
-        if self.graceful_close is not None and not self.is_closed:
-            self._pause_reading()
+        self._update_reading()
 
     def resume_writing(self) -> None:
         """Clears the blocked state: the client reads again."""
         self.write_blocked_since_ns = 0
-        if self.graceful_close is not None and not self.is_closed:
-            self.transport.resume_reading()
+        self._update_reading()
 
     # -- called before an attempt of one of its requests is sent
 
     def peek_input(self) -> UnreadInput:
-        """Returns what is pending on the connection, without reading it."""
-        return UnreadInput.END if self.is_closed else sockets.peek_input(self.transport)
+        """Returns what is pending on the connection, without reading or handling it."""
+        unread = UnreadInput.END if self.is_closed else sockets.peek_input(self.transport)
+        return UnreadInput.BYTES if unread is UnreadInput.NOTHING and self._waiting else unread
 
     def read_unread_input(self) -> bool:
         """Reads pending input ahead of the event loop, up to a limit; returns whether none is left.
 
         If the client does not read and the connection is closing, its input stays unread: there is
-        no room for the responses.
+        no room for the responses. Messages that wait come first, and nothing is read behind them.
         """
+        if self._waiting:
+            self.handle_next_messages()
         try:
             self._read_socket()
         except BlockingIOError:
-            return True  # the kernel has no input, even if polling the socket failed
+            return not self._waiting  # the kernel has no input, even if polling the socket failed
         except InterruptedError:
             pass
         except OSError:
@@ -216,7 +289,7 @@
         for _ in range(READS_PER_TURN):
             if self.write_blocked_since_ns and self.graceful_close is not None:
                 return
-            if self.peek_input() is not UnreadInput.BYTES:
+            if self._waiting or self.peek_input() is not UnreadInput.BYTES:
                 return
             data = os.read(sockets.descriptor(self.transport), READ_BYTES)
             if not data:
@@ -252,7 +325,7 @@
 
     def _mark_closed(self) -> None:
         self.is_closed = True
-        self.decoder.discard()
+        self._discard_input()
         self.listener.closing[self] = self.listener.dispatcher.clock()
         self.listener.remove_connection(self)
 
@@ -269,7 +342,7 @@
             close_after_ns = self.listener.dispatcher.clock() + FIRST_REQUEST_GRACE_NS
         self.graceful_close = GracefulClose(self, close_after_ns, self.listener.dispatcher.clock)
         if self.write_blocked_since_ns:
-            self._pause_reading()
+            self._update_reading()
         if is_over_limit:
             asyncio.get_running_loop().call_later(
                 FIRST_REQUEST_GRACE_NS / 1e9, self.graceful_close.close_if_finished
@@ -293,6 +366,16 @@
             return
         asyncio.get_running_loop().call_later(LINGER_SECONDS, self.transport.close)
 
+    def _update_reading(self) -> None:
+        """Reads unless messages wait, or the client does not read and the connection is closing."""
+        if self.is_closed or self.transport.is_closing():
+            return
+        is_blocked = self.graceful_close is not None and bool(self.write_blocked_since_ns)
+        if self._waiting or is_blocked:
+            self._pause_reading()
+        elif not self.transport.is_reading():
+            self.transport.resume_reading()
+
     def _pause_reading(self) -> None:
         if self.transport.is_reading():
             self.transport.pause_reading()
@@ -307,11 +390,11 @@
             return False
         if self.partial_since_ns and now_ns - self.partial_since_ns <= LAST_READS_NS:
             return False
-        return not readable(self.transport)
+        return not self._waiting and not readable(self.transport)
 
     def is_idle(self, now_ns: int) -> bool:
         """Whether the connection has been idle for longer than its timeout."""
-        if self.open_requests or self.graceful_close is not None:
+        if self.open_requests or self.graceful_close is not None or self._waiting:
             return False
         if self.write_blocked_since_ns:
             return now_ns - self.write_blocked_since_ns > STALLED_CLIENT_TIMEOUT_NS
--- a/martenlead/node/graceful_close.py
+++ b/martenlead/node/graceful_close.py
@@ -23,6 +23,10 @@
     is_reading: bool
     is_unreadable: bool
 
+    @property
+    def waiting_messages(self) -> int:
+        """The number of messages that were read and are not handled yet."""
+
     @property
     def open_requests(self) -> Mapping[int, object]:
         """Requests without a response, by number."""
@@ -50,6 +54,8 @@
         connection = self._connection
         if connection.is_closed or connection.open_requests or connection.is_reading:
             return
+        if connection.waiting_messages:
+            return  # they are handled in their turns
         now_ns = self._clock()
         self._all_answered_ns = self._all_answered_ns or now_ns
         has_unread = not connection.is_unreadable and connection.peek_input() is UnreadInput.BYTES
--- a/martenlead/node/listener.py
+++ b/martenlead/node/listener.py
@@ -9,13 +9,15 @@
 from martenlead.edge.dispatcher import Dispatcher
 from martenlead.node import client_connection
 from martenlead.node.client_connection import ClientConnection
+from martenlead.node.input_scheduler import InputScheduler
 from martenlead.node.request_handler import RequestHandler
 from martenlead.node.sockets import readable
 
 NS_PER_MS = 1_000_000
 SWEEP_INTERVAL_NS = 250 * NS_PER_MS
-# Reads of each client at shutdown, limited as a client may never stop sending
-FINAL_READS = 16
+# Turns of each client at shutdown, and their time in total: a client may never stop sending
+FINAL_TURNS = 64
+FINAL_TURNS_NS = 100 * NS_PER_MS
 
 
 class RpcListener:
@@ -30,12 +32,16 @@
     ) -> None:
         self.dispatcher, self.connection_limit = dispatcher, connection_limit
         self.requests = RequestHandler(dispatcher, request_limit, body_bytes_limit)
+        self.input_scheduler = InputScheduler(dispatcher.clock, self._count_deferral)
         self.clients: dict[ClientConnection, None] = {}  # the oldest first
         # Connections with unsent data that are being closed, and since when.
         self.closing: dict[ClientConnection, int] = {}
         # Called when a descriptor has become free.
         self.on_connection_closed: Callable[[], None] = lambda: None
 
+    def _count_deferral(self) -> None:
+        self.dispatcher.counts["client", "deferred"] += 1
+
     async def run(self) -> None:
         """Closes overdue connections periodically, until cancelled."""
         while True:
@@ -107,11 +113,15 @@
     def close_all_connections(self) -> None:
         """Reads all pending input of each connection, rejects its requests, and closes it.
 
-        No request may be open when this is called.
+        No request may be open when this is called. Connections take turns, so that one that sends
+        without an end leaves the others their time.
         """
         self.reject_new_requests()
+        end_ns = self.dispatcher.clock() + FINAL_TURNS_NS
+        unread = list(self.clients)
+        for turn in range(FINAL_TURNS):
+            if turn and self.dispatcher.clock() >= end_ns:
+                break
+            unread = [c for c in unread if not c.read_unread_input()]
         for connection in list(self.clients):
-            for _ in range(FINAL_READS):
-                if connection.read_unread_input():
-                    break
             connection.start_lingering_close()
--- a/martenlead/node/request_handler.py
+++ b/martenlead/node/request_handler.py
@@ -44,11 +44,12 @@
     # -- messages
 
     def handle_messages(
-        self, connection: ClientConnection, messages: list[bytes], arrived_ns: int
+        self, connection: ClientConnection, messages: list[bytes], arrived_ns: int, read_ns: int
     ) -> None:
-        """Handles the messages of one read, which arrived at `arrived_ns` at the earliest.
+        """Handles messages of one read, which arrived at `arrived_ns` at the earliest.
 
-        A request that a later message of the same read cancels is not accepted at all.
+        A request that a later one of these messages cancels is not accepted at all. What was
+        answered since `read_ns` counts as open: the client sent them before it had the responses.
         """
         now_ns = self.dispatcher.clock()
         calls = [self._parse(message) for message in messages]
@@ -64,7 +65,7 @@
                 self._refuse(connection, call)
                 continue
             try:
-                self._handle_call(connection, call, now_ns, arrived_ns, index in cancelled)
+                self._handle_call(connection, call, read_ns, arrived_ns, index in cancelled)
                 connection.has_sent_message = True
             except InvalidCallError as error:
                 self._refuse(connection, error.refusal)
@@ -84,18 +85,18 @@
         self,
         connection: ClientConnection,
         call: Call,
-        now_ns: int,
+        read_ns: int,
         arrived_ns: int,
         is_cancelled: bool,
     ) -> None:
         if call.method == "abort":
-            self._cancel(connection, call.cancelled_id, now_ns)
+            self._cancel(connection, call.cancelled_id, self.dispatcher.clock())
             return
         if call.method == "ping":
             is_ready = self.dispatcher.snapshot_received.is_set()
             connection.write(encode_ping_result(call.number, is_ready))
         else:
-            self._accept_request(connection, call, now_ns, arrived_ns, is_cancelled)
+            self._accept_request(connection, call, read_ns, arrived_ns, is_cancelled)
         if connection.write_blocked_since_ns:
             connection.error_count += 1  # the client keeps sending but does not read
             if connection.error_count > ERRORS_PER_CONNECTION:
@@ -132,7 +133,7 @@
         self,
         connection: ClientConnection,
         call: Call,
-        now_ns: int,
+        read_ns: int,
         arrived_ns: int,
         is_cancelled: bool,
     ) -> None:
@@ -142,7 +143,7 @@
         if is_cancelled:
             self._finish(call.request_id)
             return
-        if self._is_full(connection, size_bytes, now_ns):
+        if self._is_full(connection, size_bytes, read_ns):
             self._reject(connection, number)
             return
         # It refers to the numbers alone: a reference to `call` would keep the body in memory.
@@ -190,13 +191,13 @@
                 client_protocol.INVALID_PARAMS, "id: of a request that was answered", number
             )
 
-    def _is_full(self, connection: ClientConnection, size_bytes: int, now_ns: int) -> bool:
+    def _is_full(self, connection: ClientConnection, size_bytes: int, read_ns: int) -> bool:
         dispatcher = self.dispatcher
         return bool(
             self.rejects_requests
             or connection.graceful_close is not None
             or connection.write_blocked_since_ns
-            or connection.count_open_requests(now_ns) >= REQUESTS_PER_CONNECTION
+            or connection.count_open_requests(read_ns) >= REQUESTS_PER_CONNECTION
             or len(dispatcher.pending_requests) >= self.request_limit
             or dispatcher.pending_bytes + size_bytes > self.body_bytes_limit
         )
