A node forgets no id that may still come again, and rejects when it has no room

Ids stay for the longest deadline and a second; while there is no room for a further one, requests are rejected at once, which promises no effect.

--- a/martenlead/node/request_handler.py
+++ b/martenlead/node/request_handler.py
@@ -18,9 +18,14 @@
     encode_ping_result,
     encode_result,
 )
+from martenlead.node.finished_ids import FinishedIds
 
 REQUESTS_PER_CONNECTION = 32  # open requests that the protocol allows
 ERRORS_PER_CONNECTION = 16  # a connection with more errors is closed
+# Finished ids that are remembered, as a multiple of the limit of open requests
+IDS_PER_REQUEST = 64
+# Time for which an id may not be used again, in addition to the longest deadline
+ID_RETENTION_MARGIN_NS = 1_000_000_000
 NS_PER_MS = 1_000_000
 # Time after the response for which a request still counts as open to its client
 RESPONSE_TRANSIT_NS = 5 * NS_PER_MS
@@ -38,7 +43,10 @@
         retry_after_ns = dispatcher.settings.policy_settings.retry_after_limit_ns
         self.retry_after_ms = retry_after_ns // NS_PER_MS
         self.open_requests: dict[str, PendingRequest] = {}  # keyed by id
-        self.finished_ids: dict[str, None] = {}  # the oldest first
+        longest_deadline_ns = max(dispatcher.deadlines_ns.values(), default=0)
+        self.finished_ids = FinishedIds(
+            request_limit * IDS_PER_REQUEST, longest_deadline_ns + ID_RETENTION_MARGIN_NS
+        )
         self.rejects_requests = False  # set when the node stops before a worker could respond
 
     # -- messages
@@ -199,6 +207,7 @@
             or connection.write_blocked_since_ns
             or connection.count_open_requests(read_ns) >= REQUESTS_PER_CONNECTION
             or len(dispatcher.pending_requests) >= self.request_limit
+            or self.finished_ids.is_full(dispatcher.clock())
             or dispatcher.pending_bytes + size_bytes > self.body_bytes_limit
         )
 
@@ -243,9 +252,7 @@
         requests.
         """
         self.open_requests.pop(request_id, None)
-        self.finished_ids[request_id] = None
-        if len(self.finished_ids) > self.request_limit:
-            del self.finished_ids[next(iter(self.finished_ids))]
+        self.finished_ids.add(request_id, self.dispatcher.clock())
 
 
 def _find_cancelled(calls: list[Call | Refusal]) -> Collection[int]:
