An edge sends no attempt while its client's end may lie behind unread requests

Cause: the end of a connection reaches the kernel behind all bytes before it, and these wait at the client while the edge's receive buffer is full. With a full pipeline and 256 KB read ahead nothing was read, so that the check before each attempt saw no end. Evidence: with a close and a reset, which overtake unread bytes, no attempt was late.

Change: beyond the read-ahead, requests are read and rejected (503, Retry-After, counter client overrun); an attempt waits while 8 KB of its client or more are unread in the kernel, as a full window could hide the end.

--- a/martenlead/edge/http_upstream.py
+++ b/martenlead/edge/http_upstream.py
@@ -32,6 +32,7 @@
 REWRITTEN_HEADERS = frozenset({b"ce-timeleftms", b"ce-handoff"})
 DRAINING_STATE = b"draining"
 IDLE_CHECK_SECONDS = 2.0
+UNREAD_CHECK_SECONDS = 0.002
 WORKERS_PER_STEP = 64  # between two of them other tasks run
 MS_PER_SECOND = 1000
 NS_PER_MS = 1_000_000
@@ -169,6 +170,7 @@
         attempt.link_handle.deadline = anyio.current_time() + left_ns / NS_PER_SECOND
         try:
             with attempt.link_handle:
+                await _wait_until_read(attempt)
                 exchange = await connections.pool.exchange(
                     lambda: self._encode(attempt, connections), progress
                 )
@@ -186,7 +188,7 @@
         is_over = attempt not in self._unsent or not may_begin
         if is_over or not _accepts_work(attempt.worker, connections):
             return False
-        if not self._has_client(attempt):
+        if not self._has_client(attempt) or _may_have_left(attempt):
             return False
         self._unsent.discard(attempt)
         return True
@@ -313,6 +315,18 @@
             self.dispatcher.record_fault(error)
 
 
+def _may_have_left(attempt: InFlightAttempt) -> bool:
+    """Whether the end of its client's connection may wait behind unread bytes."""
+    client = attempt.request.client
+    return client is not None and client.peek_input() is UnreadInput.BYTES
+
+
+async def _wait_until_read(attempt: InFlightAttempt) -> None:
+    """Waits while the end of its client's connection may wait behind unread bytes."""
+    while _may_have_left(attempt):  # noqa: ASYNC110 - the kernel's state
+        await anyio.sleep(UNREAD_CHECK_SECONDS)
+
+
 def _accepts_work(worker: UpstreamWorker, connections: WorkerConnections) -> bool:
     """Whether a worker accepts work on these connections: it is up, and still at their address.
 
--- a/martenlead/edge/listener.py
+++ b/martenlead/edge/listener.py
@@ -37,26 +37,28 @@
     is_structured,
 )
 from martenlead.events.http import Message, MessageLimits, Peer
-from martenlead.events.server import Reply, Server, ServerLimits
+from martenlead.events.server import OVERRUN_REASON, Reply, Server, ServerLimits
 
 
 class HttpCancellationSource:
     """A `CancellationSource` for HTTP/1.1.
 
     Only the end of the connection cancels a request: unread bytes are pipelined requests, and need
-    not be read before an attempt.
+    not be read before an attempt unless they may hide that end.
     """
 
     def __init__(self, peer: Peer) -> None:
         self.peer = peer
 
     def peek_input(self) -> UnreadInput:
-        """Checks in the kernel whether the client has left."""
-        return UnreadInput.END if self.peer.has_left() else UnreadInput.NOTHING
+        """Checks in the kernel whether the client has left, or may have behind unread bytes."""
+        if self.peer.has_left():
+            return UnreadInput.END
+        return UnreadInput.BYTES if self.peer.may_have_left() else UnreadInput.NOTHING
 
     def read_unread_input(self) -> bool:
-        """Reads nothing, because no unread input can cancel a request."""
-        return True
+        """Reads nothing, as the connection does; returns whether no end can be hidden."""
+        return not self.peer.may_have_left()
 
     def handle_disconnect(self, request: PendingRequest) -> None:
         """Ends this request now, and all others of the connection in a later loop iteration."""
@@ -79,6 +81,7 @@
             _server_limits(settings.limits),
             make_error_reply=unreadable_message,
             make_fault_reply=self._make_fault_reply,
+            make_overrun_reply=self._make_overrun_reply,
             earliest_arrival_ns=dispatcher.event_loop_lag.earliest_arrival,
         )
 
@@ -152,6 +155,11 @@
         if self.queue_admission is not None:
             self.queue_admission.reject_all()
 
+    def _make_overrun_reply(self) -> Reply:
+        self.dispatcher.counts["final", FinalOutcome.REJECTED.value] += 1
+        self.dispatcher.counts["client", "overrun"] += 1
+        return rejected_before_acceptance(OVERRUN_REASON, self._retry_after_ns)
+
     def _make_fault_reply(self, error: BaseException) -> Reply:
         self.log.error("fault_recorded", exc_info=error)
         return internal_error()
--- a/martenlead/events/connection.py
+++ b/martenlead/events/connection.py
@@ -32,13 +32,18 @@
     response,
 )
 from martenlead.events.server_interface import ConnectionOwner, Reply
-from martenlead.system.sockets import has_ended, readable
+from martenlead.events.stream_listener import RECEIVE_BUFFER_BYTES
+from martenlead.system.sockets import has_ended, readable, unread_bytes
 from martenlead.system.stream_writes import send_all
 
 # Largest read; all its messages are parsed at once and kept in memory while a handler is slow.
 READ_BYTES = 16_384
-# Bytes read while no request may start, so that a disconnect that follows them is noticed.
+# Bytes read while no request may start, so that a disconnect that follows them is noticed. Further
+# requests are rejected for the same purpose, up to a number of responses that wait.
 READ_AHEAD_BYTES = 262_144
+WAITING_RESPONSES = 1024
+# The kernel accepts the end of a connection while less than this is unread: its window is open then
+UNSEEN_END_BYTES = RECEIVE_BUFFER_BYTES // 4
 HANGUP_CHECK_SECONDS = 0.02  # Interval of checks for a disconnect while no request may start
 REJECT_SECONDS = 1.0  # Time limit for the response to a connection beyond the limit
 LINGER_SECONDS = 0.25  # Time for the client to read its response and to close
@@ -117,6 +122,10 @@
         """
         return has_ended(self._socket)
 
+    def may_have_left(self) -> bool:
+        """Whether an end of the connection may still wait at the client, behind unread bytes."""
+        return unread_bytes(self._socket) >= UNSEEN_END_BYTES
+
     def end(self) -> None:
         """Cancels all its requests, in a later iteration of the event loop."""
         self.scope.cancel()
@@ -231,11 +240,14 @@
         """Starts one request once it has a slot."""
         message.peer = self
         # one read can hold far more small requests than may be in flight
-        await self._wait_for_slot()
+        may_start = await self._wait_for_slot()
         self._requests_without_slot -= 1
         self.has_last_request = self.has_last_request or not message.keep_alive
         slot = _ResponseSlot(self.has_last_request)
         self.slots.append(slot)
+        if not may_start:
+            await self._submit_reply(slot, self.server.make_overrun_reply())
+            return
         self._jobs.append((message, arrived_ns, slot))
         if self._is_answerer_idle:
             self._is_answerer_idle = False
@@ -268,13 +280,16 @@
                 self._unread_since_ns = 0
         return _Received(data, now_ns, arrived_ns)
 
-    async def _wait_for_slot(self) -> None:
-        """Waits until another request may start.
+    async def _wait_for_slot(self) -> bool:
+        """Waits until another request may start; returns false if it has to be rejected instead.
 
         Meanwhile it reads ahead and polls the kernel, to notice that the client disconnects. Raises
         EndOfStream then, or another error of the stream.
         """
         while len(self.slots) >= self.limits.max_pipelined:
+            may_reject = len(self.slots) < self.limits.max_pipelined + WAITING_RESPONSES
+            if may_reject and self._read_ahead_bytes >= READ_AHEAD_BYTES:
+                return False
             with anyio.move_on_after(HANGUP_CHECK_SECONDS) as self._slot_wait:
                 if self._read_ahead_bytes >= READ_AHEAD_BYTES:
                     self._unread_since_ns = self._unread_since_ns or self._read_ahead[-1].read_ns
@@ -284,6 +299,7 @@
                 self._read_ahead_bytes += len(received.data)
             if self.has_left():
                 raise anyio.EndOfStream
+        return True
 
     # -- answering
 
--- a/martenlead/events/http.py
+++ b/martenlead/events/http.py
@@ -66,6 +66,9 @@
     def has_left(self) -> bool:
         """Whether it has disconnected, even if only the kernel knows it so far."""
 
+    def may_have_left(self) -> bool:
+        """Whether so much is unread that the kernel may not know yet that it has disconnected."""
+
     def end(self) -> None:
         """Ends the connection and cancels its requests, in a later iteration of the event loop."""
 
--- a/martenlead/events/server.py
+++ b/martenlead/events/server.py
@@ -20,6 +20,7 @@
 __all__ = ["Handler", "Reply", "Server", "ServerLimits", "StreamListener", "listen"]
 
 SERVICE_UNAVAILABLE = HTTPStatus.SERVICE_UNAVAILABLE.value
+OVERRUN_REASON = "too many requests were sent ahead of their responses"
 
 
 class Server:
@@ -32,6 +33,7 @@
         *,
         make_error_reply: Callable[[int, str], Reply],
         make_fault_reply: Callable[[BaseException], Reply],
+        make_overrun_reply: Callable[[], Reply] | None = None,
         earliest_arrival_ns: Callable[[int], int] = lambda now: now,
     ) -> None:
         """Creates a server that accepts nothing yet.
@@ -42,10 +44,13 @@
             make_error_reply: Makes the response to an invalid message, or to a connection beyond
                 the limit, from the status and the reason.
             make_fault_reply: Makes the response if the handler, or sending its reply, has failed.
+            make_overrun_reply: Makes the response to a request that is rejected, as its client has
+                sent too many ahead; by default that of an error with status 503.
             earliest_arrival_ns: Returns the earliest time at which bytes read now can have arrived.
         """
         self.handler, self.limits = handler, limits
         self.make_error_reply, self.make_fault_reply = make_error_reply, make_fault_reply
+        self.make_overrun_reply = make_overrun_reply or self._make_overrun_reply
         self.earliest_arrival_ns = earliest_arrival_ns
         self.connections: set[Connection] = set()
         self.is_draining = False
@@ -95,6 +100,9 @@
         finally:
             self.connections.discard(connection)
 
+    def _make_overrun_reply(self) -> Reply:
+        return self.make_error_reply(SERVICE_UNAVAILABLE, OVERRUN_REASON)
+
     def handle_fault(self, error: Exception) -> Reply:
         """The response to an internal error; a plain one if `make_fault_reply` fails too."""
         try:
--- a/martenlead/events/server_interface.py
+++ b/martenlead/events/server_interface.py
@@ -33,7 +33,8 @@
     """Limits on what clients may use.
 
     A connection beyond `max_connections` is answered with 503 and closed. While `max_pipelined`
-    requests of a connection are in flight, it starts no further one.
+    requests of a connection are in flight, it starts no further one. What a client sends beyond
+    that is read ahead up to a limit, and rejected behind it.
     """
 
     message: MessageLimits = MessageLimits()  # noqa: RUF009 - it is frozen
@@ -50,6 +51,7 @@
     handler: Handler
     limits: ServerLimits
     make_error_reply: Callable[[int, str], Reply]
+    make_overrun_reply: Callable[[], Reply]
     earliest_arrival_ns: Callable[[int], int]
     is_draining: bool
 
--- a/martenlead/system/sockets.py
+++ b/martenlead/system/sockets.py
@@ -6,6 +6,8 @@
 import select
 import socket
 import struct
+from fcntl import ioctl
+from termios import FIONREAD
 from typing import Any
 
 # Linux only: reported even if unread bytes precede the EOF
@@ -57,6 +59,17 @@
     return number < 0 or bool(poll(number, HALF_CLOSED) & ENDED)
 
 
+def unread_bytes(source: Any) -> int:
+    """Returns how many received bytes wait to be read; 0 if that is unknown."""
+    number = descriptor(source)
+    if number < 0:
+        return 0
+    try:
+        return int(struct.unpack("=i", ioctl(number, FIONREAD, bytes(4)))[0])
+    except OSError:
+        return 0
+
+
 def is_own_shortage(error: BaseException) -> bool:
     """Whether a connection failed because this machine lacks a resource.
 
--- a/tests/test_edge_client_gone.py
+++ b/tests/test_edge_client_gone.py
@@ -127,3 +127,62 @@
         assert [ident for _, _, ident in rig.arrivals] == ["first", "second", "third"]
         assert not rig.dispatcher.counts["final", "left"]
         client.close()
+
+
+async def exchange_all(port: int, requests: list[bytes]) -> list[bytes]:
+    """Writes all requests while it reads; returns the status of each response, in their order."""
+    received = b""
+    async with await anyio.connect_tcp("127.0.0.1", port) as stream, anyio.create_task_group() as group:
+        group.start_soon(stream.send, b"".join(requests))
+        with anyio.fail_after(20):
+            while received.count(b"HTTP/1.1 ") < len(requests):
+                received += await stream.receive()
+    return [part[:3] for part in received.split(b"HTTP/1.1 ")[1:]]
+
+
+async def test_requests_far_ahead_of_their_responses_are_rejected_and_all_are_answered() -> None:
+    # Guards against a pipeline that fills up, so that the end of its client is not seen behind it.
+    head, body = encode_request("many").split(b"content-length: 0\r\n"), b"x" * 8_000
+    request = head[0] + b"content-length: 8000\r\n" + head[1] + body
+    held = anyio.Event()
+
+    async def respond_once_released(worker: Any, stream: Any, message: Any) -> None:
+        """Answers once the edge has read all that it reads ahead."""
+        await held.wait()
+        await respond_ok(worker, stream, message)
+
+    limits = {"pipelined": 4, "runner_connections": 32}
+    async with (
+        run_edge({"a": [respond_once_released]}, limits=limits) as rig,
+        anyio.create_task_group() as group,
+    ):
+
+        async def release() -> None:
+            """Lets the worker answer once a request was rejected."""
+            await until(lambda: rig.dispatcher.counts["client", "overrun"])
+            held.set()
+
+        group.start_soon(release)
+        statuses = await exchange_all(rig.port, [request] * 200)
+        assert set(statuses) == {b"200", b"503"}
+        assert statuses[:4] == [b"200"] * 4
+        assert len(rig.arrivals) == statuses.count(b"200")
+        assert rig.dispatcher.counts["client", "overrun"] == statuses.count(b"503")
+
+
+async def test_no_attempt_begins_while_the_end_of_its_client_may_be_unread() -> None:
+    # Guards against an end that the kernel has not accepted yet, as its buffer is full.
+    async with run_edge() as rig:
+        await connect_workers(rig)
+        client = socket.create_connection(("127.0.0.1", rig.port))
+        is_hidden = [True]
+        await until(lambda: rig.event_listener.server.connections)
+        (connection,) = rig.event_listener.server.connections
+        connection.may_have_left = lambda: is_hidden[0]  # type: ignore[method-assign]
+        client.sendall(encode_request("left"))
+        await until(lambda: rig.dispatcher.pending_requests)
+        await anyio.sleep(0.1)
+        assert not rig.arrivals
+        is_hidden[0] = False
+        await until(lambda: rig.arrivals)
+        client.close()
