Unfinished requests of all connections together are bounded, the oldest give way

Cause: what is received of messages that are incomplete was bounded for each connection alone.

Change: system/input_memory.py counts it for all connections of a server. Beyond the limit the oldest incomplete message is refused, and an edge rejects rather than reads ahead. All HTTP servers (edge, admin ports, planner, agent) and the node have it.

Peers are simulated.

--- a/martenlead/edge/listener.py
+++ b/martenlead/edge/listener.py
@@ -82,6 +82,7 @@
             make_error_reply=unreadable_message,
             make_fault_reply=self._make_fault_reply,
             make_overrun_reply=self._make_overrun_reply,
+            count_refused_input=self._count_refused_input,
             earliest_arrival_ns=dispatcher.event_loop_lag.earliest_arrival,
         )
 
@@ -160,6 +161,9 @@
         self.dispatcher.counts["client", "overrun"] += 1
         return rejected_before_acceptance(OVERRUN_REASON, self._retry_after_ns)
 
+    def _count_refused_input(self) -> None:
+        self.dispatcher.counts["client", "refused input"] += 1
+
     def _make_fault_reply(self, error: BaseException) -> Reply:
         self.log.error("fault_recorded", exc_info=error)
         return internal_error()
@@ -170,6 +174,7 @@
         MessageLimits(limits.head_bytes, limits.body_bytes),
         limits.connections,
         limits.pipelined,
+        limits.pending_bytes,
         ms_to_ns(limits.idle_ms),
         ms_to_ns(limits.slow_ms),
     )
--- a/martenlead/events/connection.py
+++ b/martenlead/events/connection.py
@@ -50,6 +50,9 @@
 LINGER_BYTES = 1 << 20  # Bytes that are read and dropped during that time
 NEVER_NS = 1 << 62  # A start of writing that is never overdue
 CLIENT_GONE_ERRORS = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
+TOO_SLOW_REASON = "the message took too long to arrive"
+TOO_MUCH_REASON = "too much is being received"
+SERVICE_UNAVAILABLE = HTTPStatus.SERVICE_UNAVAILABLE.value
 REQUEST_TIMEOUT = HTTPStatus.REQUEST_TIMEOUT.value
 INTERNAL_SERVER_ERROR = HTTPStatus.INTERNAL_SERVER_ERROR.value
 
@@ -92,7 +95,8 @@
         self.read_scope = anyio.CancelScope()
         self.has_sent_request = False
         self.is_closing = False  # Closes once all requests that were read are answered
-        self.is_too_slow = False
+        self._input_error: InvalidMessage | None = None  # why reading was cancelled
+        self._recorded_bytes = 0  # of what it keeps, in the server's account
         self.has_last_request = False  # Nothing more is read
         self._requests_without_slot = 0  # Requests that were read and wait for a slot
         # Time since which bytes may be waiting in the kernel behind those read ahead
@@ -151,11 +155,47 @@
                 self.scope.cancel()
         elif self.reader.in_message:
             if now_ns - self.last_read_ns > self.limits.receive_timeout_ns:
-                self.is_too_slow = True
-                self.read_scope.cancel()
+                self._refuse(InvalidMessage(REQUEST_TIMEOUT, TOO_SLOW_REASON))
         elif not self.slots and now_ns - self.last_read_ns > self.limits.idle_timeout_ns:
             self.close_if_idle(now_ns)
 
+    def _refuse(self, error: InvalidMessage) -> None:
+        """Drops an incomplete message and reads no more; the response to it is its error."""
+        self._input_error = self._input_error or error
+        self.reader.close()
+        self._record_kept_bytes()
+        self.read_scope.cancel()
+
+    # -- received bytes that are kept
+
+    @property
+    def partial_since_ns(self) -> int:
+        """The start of an incomplete message, or 0."""
+        return self.last_read_ns if self.reader.in_message else 0
+
+    @property
+    def peer_address(self) -> str:
+        """The client's address and port."""
+        address = self.stream.extra(SocketAttribute.remote_address, ())
+        return ":".join(str(part) for part in address)
+
+    @property
+    def refusable_bytes(self) -> int:
+        """The bytes of an incomplete message, unless requests before it still have to start."""
+        has_requests = self._requests_without_slot or self._read_ahead
+        return 0 if has_requests or self._input_error else self.reader.kept_bytes
+
+    def refuse_input(self) -> None:
+        """Refuses an incomplete message, as all connections together keep too much."""
+        self._refuse(InvalidMessage(SERVICE_UNAVAILABLE, TOO_MUCH_REASON))
+
+    def _record_kept_bytes(self) -> None:
+        kept_bytes = self.reader.kept_bytes + self._read_ahead_bytes
+        difference_bytes = kept_bytes - self._recorded_bytes
+        self._recorded_bytes = kept_bytes
+        if difference_bytes:
+            self.server.input_memory.change(difference_bytes)
+
     async def reject(self, reply: Reply) -> None:
         """Responds without reading a request, and closes."""
         with anyio.move_on_after(REJECT_SECONDS), suppress(*CLIENT_GONE_ERRORS):
@@ -179,6 +219,8 @@
         """Drops what was received: tasks and scopes may refer to this connection for longer."""
         self.reader.close()
         self._read_ahead.clear()
+        self._read_ahead_bytes = 0
+        self._record_kept_bytes()
         self._jobs.clear()
 
     async def _serve(self, group: TaskGroup) -> bool:
@@ -189,8 +231,7 @@
                 error = await self._read(group)
         except CLIENT_GONE_ERRORS:
             return False
-        if self.is_too_slow:
-            error = InvalidMessage(REQUEST_TIMEOUT, "the message took too long to arrive")
+        error = self._input_error or error
         if error is not None:
             slot = _ResponseSlot(is_last=True)
             self.slots.append(slot)
@@ -234,6 +275,7 @@
         if invalid is None and reader.expects_continue and not self.slots:
             reader.expects_continue = False
             await send_all(self.stream, encode_interim_response(CONTINUE))
+        self._record_kept_bytes()
         return invalid
 
     async def _start_request(self, group: TaskGroup, message: Message, arrived_ns: int) -> None:
@@ -288,7 +330,8 @@
         """
         while len(self.slots) >= self.limits.max_pipelined:
             may_reject = len(self.slots) < self.limits.max_pipelined + WAITING_RESPONSES
-            if may_reject and self._read_ahead_bytes >= READ_AHEAD_BYTES:
+            is_far_ahead = self._read_ahead_bytes >= READ_AHEAD_BYTES
+            if may_reject and (is_far_ahead or self.server.input_memory.is_full):
                 return False
             with anyio.move_on_after(HANGUP_CHECK_SECONDS) as self._slot_wait:
                 if self._read_ahead_bytes >= READ_AHEAD_BYTES:
@@ -297,6 +340,7 @@
                 received = await self._receive_unread()
                 self._read_ahead.append(received)
                 self._read_ahead_bytes += len(received.data)
+                self._record_kept_bytes()
             if self.has_left():
                 raise anyio.EndOfStream
         return True
--- a/martenlead/events/http.py
+++ b/martenlead/events/http.py
@@ -150,12 +150,18 @@
         messages, self.completed = self.completed, []
         return messages
 
+    @property
+    def kept_bytes(self) -> int:
+        """The size of what was received of an incomplete message, without overhead."""
+        return len(self._body) + self._bytes_without_progress if self.in_message else 0
+
     def close(self) -> None:
         """Drops what was received and the parser; accepts no more bytes."""
         self._error = self._error or InvalidMessage(400, "the connection has ended")
         self._parser = None
         self._message = Message()
         self._body = bytearray()
+        self._bytes_without_progress = 0
         self.completed = []
 
     def _count_bytes_without_progress(self, received: int) -> InvalidMessage | None:
--- a/martenlead/events/server.py
+++ b/martenlead/events/server.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from http import HTTPStatus
+from time import monotonic_ns
 
 import anyio
 from anyio.abc import SocketStream
@@ -16,6 +17,7 @@
 from martenlead.events.connection import INTERNAL_SERVER_ERROR, Connection
 from martenlead.events.server_interface import Handler, Reply, ServerLimits
 from martenlead.events.stream_listener import StreamListener, listen
+from martenlead.system.input_memory import InputMemory
 
 __all__ = ["Handler", "Reply", "Server", "ServerLimits", "StreamListener", "listen"]
 
@@ -34,6 +36,7 @@
         make_error_reply: Callable[[int, str], Reply],
         make_fault_reply: Callable[[BaseException], Reply],
         make_overrun_reply: Callable[[], Reply] | None = None,
+        count_refused_input: Callable[[], None] = lambda: None,
         earliest_arrival_ns: Callable[[int], int] = lambda now: now,
     ) -> None:
         """Creates a server that accepts nothing yet.
@@ -46,6 +49,8 @@
             make_fault_reply: Makes the response if the handler, or sending its reply, has failed.
             make_overrun_reply: Makes the response to a request that is rejected, as its client has
                 sent too many ahead; by default that of an error with status 503.
+            count_refused_input: Is called for each connection whose incomplete message is refused,
+                as all connections together keep too much.
             earliest_arrival_ns: Returns the earliest time at which bytes read now can have arrived.
         """
         self.handler, self.limits = handler, limits
@@ -53,6 +58,9 @@
         self.make_overrun_reply = make_overrun_reply or self._make_overrun_reply
         self.earliest_arrival_ns = earliest_arrival_ns
         self.connections: set[Connection] = set()
+        self.input_memory = InputMemory(
+            limits.received_bytes, self.connections, monotonic_ns, count_refused_input
+        )
         self.is_draining = False
         self.active_listeners = 0  # 0 once all their connections have ended
         self._accepts_backlog = True
--- a/martenlead/node/client_connection.py
+++ b/martenlead/node/client_connection.py
@@ -19,6 +19,7 @@
 from martenlead.node import sockets
 from martenlead.node.client_protocol import (
     INVALID_REQUEST,
+    REQUEST_REJECTED,
     FramingError,
     MessageDecoder,
     encode_error,
@@ -26,6 +27,7 @@
 from martenlead.node.graceful_close import LAST_READS_NS, NS_PER_MS, GracefulClose
 from martenlead.node.input_scheduler import InputScheduler
 from martenlead.node.sockets import readable
+from martenlead.system.input_memory import InputMemory
 from martenlead.system.sender import Sender
 
 # Unsent response bytes above which no further request is accepted from the client
@@ -71,6 +73,7 @@
 
     dispatcher: Dispatcher
     input_scheduler: InputScheduler
+    input_memory: InputMemory
     closing: dict[ClientConnection, int]
     on_connection_closed: Callable[[], None]
 
@@ -95,6 +98,8 @@
         self.decoder = MessageDecoder()
         # Messages of the last read that were not handled yet; nothing is read meanwhile.
         self._waiting: deque[bytes] = deque()
+        self._waiting_bytes = 0
+        self._recorded_bytes = 0  # of `kept_bytes`, in the listener's account
         self._framing_error_text = ""  # of what follows them; empty if it is valid
         self._read_ns = self._arrived_ns = 0  # when they were read, and may have arrived
         self._window_start_ns = 0  # of the quota
@@ -146,6 +151,7 @@
         finally:
             self.is_reading = False
             self.answered_in_read.clear()
+            self._record_kept_bytes()
         if self.graceful_close is not None:
             self.graceful_close.close_if_finished()
 
@@ -164,14 +170,14 @@
         elif messages or not self.partial_since_ns:
             self.partial_since_ns = now_ns
         if self._waiting:  # read before one of its attempts
-            self._waiting.extend(messages)
+            self._add_waiting(messages)
             return
         quota = self._remaining_quota(now_ns)
         self._handled_in_window += min(quota, len(messages))
         if len(messages) <= quota:
             self._handle_messages(messages)
             return
-        self._waiting.extend(messages[quota:])
+        self._add_waiting(messages[quota:])
         # what follows lies unread from now on
         self.unread_since_ns = self.unread_since_ns or now_ns
         self._handle_messages(messages[:quota])
@@ -208,12 +214,11 @@
     def handle_next_messages(self) -> None:
         """Handles the messages of one turn, and reads on behind the last that waits."""
         if self.is_closed:
-            self._waiting.clear()
             return
         with self._reading():
-            messages = [
-                self._waiting.popleft() for _ in range(min(MESSAGES_PER_TURN, len(self._waiting)))
-            ]
+            count = min(MESSAGES_PER_TURN, len(self._waiting))
+            messages = [self._waiting.popleft() for _ in range(count)]
+            self._waiting_bytes -= sum(map(len, messages))
             self._handle_messages(messages)
         self._update_reading()
 
@@ -225,6 +230,38 @@
     def _discard_input(self) -> None:
         self.decoder.discard()
         self._waiting.clear()
+        self._waiting_bytes = 0
+        self._record_kept_bytes()
+
+    # -- received bytes that are kept
+
+    def _add_waiting(self, messages: list[bytes]) -> None:
+        self._waiting.extend(messages)
+        self._waiting_bytes += sum(map(len, messages))
+
+    @property
+    def kept_bytes(self) -> int:
+        """The bytes of messages that are incomplete or wait."""
+        return self.decoder.kept_bytes + self._waiting_bytes
+
+    @property
+    def refusable_bytes(self) -> int:
+        """The same: a client of so many bytes that are incomplete or wait is refused as a whole."""
+        return self.kept_bytes
+
+    def _record_kept_bytes(self) -> None:
+        difference_bytes = self.kept_bytes - self._recorded_bytes
+        self._recorded_bytes += difference_bytes
+        if difference_bytes:
+            self.listener.input_memory.change(difference_bytes)
+
+    def refuse_input(self) -> None:
+        """Ignores what it keeps and what follows, as all connections together keep too much."""
+        self.write(encode_error(None, REQUEST_REJECTED, "too much is being received"))
+        self._stop_decoding()
+        self.begin_graceful_close()
+        if self.graceful_close is not None:
+            self.graceful_close.close_if_finished()
 
     def _earliest_arrival_ns(self, now_ns: int, size_bytes: int) -> int:
         """Returns the earliest time at which the bytes just read may have arrived."""
--- a/martenlead/node/client_protocol.py
+++ b/martenlead/node/client_protocol.py
@@ -67,6 +67,11 @@
         """Whether a message has begun and is not complete."""
         return bool(self._buffer) or self._length >= 0
 
+    @property
+    def kept_bytes(self) -> int:
+        """The size of what was received of an incomplete message."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[bytes]:
         """Adds received bytes, and returns the messages that are now complete.
 
--- a/martenlead/node/listener.py
+++ b/martenlead/node/listener.py
@@ -12,6 +12,7 @@
 from martenlead.node.input_scheduler import InputScheduler
 from martenlead.node.request_handler import RequestHandler
 from martenlead.node.sockets import readable
+from martenlead.system.input_memory import InputMemory
 
 NS_PER_MS = 1_000_000
 SWEEP_INTERVAL_NS = 250 * NS_PER_MS
@@ -29,11 +30,15 @@
         connection_limit: int,
         request_limit: int,
         body_bytes_limit: int,
+        input_bytes_limit: int,
     ) -> None:
         self.dispatcher, self.connection_limit = dispatcher, connection_limit
         self.requests = RequestHandler(dispatcher, request_limit, body_bytes_limit)
         self.input_scheduler = InputScheduler(dispatcher.clock, self._count_deferral)
         self.clients: dict[ClientConnection, None] = {}  # the oldest first
+        self.input_memory = InputMemory(
+            input_bytes_limit, self.clients, dispatcher.clock, self._count_refused_input
+        )
         # Connections with unsent data that are being closed, and since when.
         self.closing: dict[ClientConnection, int] = {}
         # Called when a descriptor has become free.
@@ -42,6 +47,9 @@
     def _count_deferral(self) -> None:
         self.dispatcher.counts["client", "deferred"] += 1
 
+    def _count_refused_input(self) -> None:
+        self.dispatcher.counts["client", "refused input"] += 1
+
     async def run(self) -> None:
         """Closes overdue connections periodically, until cancelled."""
         while True:
--- a/martenlead/node/serve.py
+++ b/martenlead/node/serve.py
@@ -37,6 +37,8 @@
 REQUESTS_MINIMUM = 100
 # Share of the memory limit for the bodies of open requests
 BODY_MEMORY_SHARE = 1 / 8
+# Share of the memory limit for messages that are incomplete or wait to be handled
+INPUT_MEMORY_SHARE = 1 / 16
 
 # Clients may still connect for this long after SIGTERM
 ACCEPT_AFTER_SIGTERM_SECONDS = 0.8
@@ -88,6 +90,7 @@
             connection_limit=descriptors // 2,
             request_limit=max(REQUESTS_MINIMUM, int(limits.memory_mb * REQUESTS_PER_MB)),
             body_bytes_limit=int(limits.memory_mb * 2**20 * BODY_MEMORY_SHARE),
+            input_bytes_limit=int(limits.memory_mb * 2**20 * INPUT_MEMORY_SHARE),
         )
         self.is_stopping = False
         self.log = structlog.get_logger().bind(edge=settings.name)
--- a/support/full_speed_client.py
+++ b/support/full_speed_client.py
@@ -95,6 +95,13 @@
             threading.Event().wait(RECONNECT_SECONDS)
 
 
+def peak_mb(pid: int) -> float:
+    """Returns the peak resident memory of a process."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    line = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+    return int(line.split()[1]) / 1024
+
+
 @asynccontextmanager
 async def full_speed_clients(port: int, kind: str, count: int, seconds: float) -> AsyncIterator[None]:
     """Runs clients of this kind beside the body, which begins once they have started."""
--- a/tests/apart.py
+++ b/tests/apart.py
@@ -22,7 +22,7 @@
 
 DESCRIPTOR_LIMIT = 96
 ROOT = Path(__file__).parent.parent
-NODE_COMMAND = f"ulimit -n {DESCRIPTOR_LIMIT}; exec {sys.executable} -m martenlead.node"
+MEMORY_MB = 64
 PING_REQUEST = message({"jsonrpc": "2.0", "id": 1, "method": "ping", "params": {}})
 
 
@@ -30,12 +30,14 @@
     """A node in a process of its own, and its scripted peers in this one."""
 
     process: Process
+    descriptor_limit = DESCRIPTOR_LIMIT
 
     async def start(self) -> None:
         """Starts the node with the configuration that was written last."""
         environment = {**os.environ, "ROUTER_CONFIG": str(self.config_path)}
+        command = f"ulimit -n {self.descriptor_limit}; exec {sys.executable} -m martenlead.node"
         self.process = await anyio.open_process(
-            ["/bin/sh", "-c", NODE_COMMAND], cwd=ROOT, env=environment, stdout=None, stderr=None
+            ["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdout=None, stderr=None
         )
 
     async def kill(self) -> None:
@@ -77,17 +79,23 @@
 
 
 @asynccontextmanager
-async def run_node_process(tmp_path: Path, workers: str = "a", **entries: Any) -> AsyncIterator[NodeProcess]:
+async def run_node_process(
+    tmp_path: Path,
+    workers: str = "a",
+    descriptor_limit: int = DESCRIPTOR_LIMIT,
+    memory_mb: int = MEMORY_MB,
+    **entries: Any,
+) -> AsyncIterator[NodeProcess]:
     """Starts a node with a scripted worker for each letter of `workers`, and kills it as the test ends."""
     rig = NodeProcess()
+    rig.descriptor_limit = descriptor_limit
+    limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": descriptor_limit}
     rig.config_path = tmp_path / "config.json"
     rig.port, rig.journal.port = unused_port(), unused_port()
     async with anyio.create_task_group() as rig.task_group:
         for name in workers:
             await rig.start_worker(name, succeed)
-        rig.write_config(
-            rig.journal.port, limits={"cores": 1.0, "memory_mb": 64, "sockets": DESCRIPTOR_LIMIT}, **entries
-        )
+        rig.write_config(rig.journal.port, limits=limits, **entries)
         await rig.start()
         try:
             yield rig
--- a/tests/test_full_speed_clients.py
+++ b/tests/test_full_speed_clients.py
@@ -20,7 +20,7 @@
 from anyio.abc import Process
 
 from support.fleet import REQUEST_CLASSES, after_delay, respond_ok, run_edge
-from support.full_speed_client import full_speed_clients
+from support.full_speed_client import full_speed_clients, peak_mb
 from tests.apart import run_node_process, serve_journal
 from tests.nodes import Client
 
@@ -106,12 +106,6 @@
     process: Process
     port: int
 
-    def peak_mb(self) -> float:
-        """Returns its peak resident memory."""
-        status = Path(f"/proc/{self.process.pid}/status").read_text()
-        line = next(line for line in status.splitlines() if line.startswith("VmHWM"))
-        return int(line.split()[1]) / 1024
-
 
 @asynccontextmanager
 async def run_edge_process(
@@ -153,7 +147,7 @@
             async with anyio.create_task_group() as asking:
                 for _ in range(USUAL_CLIENTS):
                     asking.start_soon(usual.send, call_edge, until)
-            peak_mb = edge.peak_mb()
+            highest_mb = peak_mb(edge.process.pid)
     usual.check()
     connections = FLOODING_CLIENTS + USUAL_CLIENTS
-    assert peak_mb < EDGE_BASE_MB + connections * CONNECTION_MB
+    assert highest_mb < EDGE_BASE_MB + connections * CONNECTION_MB
--- /dev/null
+++ b/tests/test_unfinished_requests.py
@@ -0,0 +1,199 @@
+"""Hundreds of clients that stop half way, or write slowly, take a program to no more memory than it may use.
+
+Programs are processes of their own, on loopback addresses; clients, workers and discovery are simulated.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+
+from martenlead.events.server import Reply, Server, ServerLimits, listen
+from martenlead.node.client_connection import MESSAGES_PER_TURN
+from support.fleet import after_delay, respond_ok, run_edge, until
+from support.full_speed_client import peak_mb
+from tests.apart import run_node_process, serve_journal
+from tests.nodes import CONNECTION_ERRORS, Client, message, outcome_of, run_node
+from tests.test_full_speed_clients import (
+    CONNECTION_MB,
+    DEADLINE_SECONDS,
+    EDGE_BASE_MB,
+    READY_SECONDS,
+    UsualRequests,
+    call_node,
+    run_edge_process,
+)
+
+pytestmark = pytest.mark.anyio
+
+CLIENTS = 300
+SECONDS = 5.0
+WRITE_INTERVAL_SECONDS = 0.2
+NODE_MEMORY_MB, NODE_DESCRIPTORS = 48, 1024
+HELD_BYTES = 8_000_000
+HALF_OF_A_MESSAGE = (
+    b'Content-Length: 65000\r\n\r\n{"jsonrpc":"2.0","id":40,"method":"safe","params":{"blob":"'
+)
+CHUNKED_HEAD = b"POST / HTTP/1.1\r\nhost: e\r\ntransfer-encoding: chunked\r\n\r\n"
+
+
+def whole_requests(number: int) -> bytes:
+    """Returns as many large requests as a client may have open, under ids of its own."""
+    client = Client(None)  # type: ignore[arg-type]
+    blob = "A" * 20_000
+    ids = (f"{number:08x}{place:08x}" for place in range(31))
+    return b"".join(client.encode_request("unsafe", id=request_id, blob=blob) for request_id in ids)
+
+
+NODE_KINDS: dict[str, Callable[[int], bytes]] = {
+    "half of a request": lambda _: HALF_OF_A_MESSAGE + b"A" * 64_000,
+    "requests and half of one": lambda number: whole_requests(number) + HALF_OF_A_MESSAGE + b"A" * 64_000,
+}
+EDGE_KINDS: dict[str, Callable[[int], bytes]] = {
+    "half of a body": lambda _: (
+        b"POST / HTTP/1.1\r\nhost: e\r\ncontent-length: 1000000\r\n\r\n" + b"A" * 900_000
+    ),
+    "half of a body in chunks": lambda _: CHUNKED_HEAD + (b"4000\r\n" + b"A" * 16_384 + b"\r\n") * 50,
+    "many short fields": lambda _: b"POST / HTTP/1.1\r\nhost: e\r\n" + b"a:b\r\n" * 98,
+}
+
+
+async def keep_unfinished(port: int, data: bytes, until_time: float) -> None:
+    """Writes the beginning of a request, then a byte now and then; connects again once that has ended."""
+    while anyio.current_time() < until_time:
+        with suppress(*CONNECTION_ERRORS), anyio.move_on_after(until_time - anyio.current_time()):
+            async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+                await stream.send(data)
+                while True:
+                    await anyio.sleep(WRITE_INTERVAL_SECONDS)
+                    await stream.send(b"A")
+        await anyio.sleep(WRITE_INTERVAL_SECONDS)
+
+
+async def play(
+    port: int, data: Callable[[int], bytes], calls: list[Callable[[], Awaitable[str]]]
+) -> UsualRequests:
+    """Runs the unfinished clients beside usual ones."""
+    usual = UsualRequests()
+    until_time = anyio.current_time() + SECONDS
+    async with anyio.create_task_group() as group:
+        for number in range(CLIENTS):
+            group.start_soon(keep_unfinished, port, data(number), until_time)
+        for call in calls:
+            group.start_soon(usual.send, call, until_time)
+    return usual
+
+
+@pytest.mark.parametrize("kind", NODE_KINDS)
+async def test_unfinished_requests_do_not_take_a_node_over_its_memory_limit(
+    tmp_path: Path, kind: str
+) -> None:
+    # Guards against hundreds of connections that each keep less than their own bound.
+    rig_limits: dict[str, Any] = {"descriptor_limit": NODE_DESCRIPTORS, "memory_mb": NODE_MEMORY_MB}
+    async with run_node_process(tmp_path, "ab", **rig_limits) as rig, anyio.create_task_group() as group:
+        group.start_soon(serve_journal, rig.journal)
+        await rig.wait_until_up(READY_SECONDS)
+        clients = [await rig.connect_client() for _ in range(2)]
+        calls = [
+            lambda c=client, f=place << 48: call_node(c, f) for place, client in enumerate(clients, start=1)
+        ]
+        usual = await play(rig.port, NODE_KINDS[kind], calls)
+        highest_mb = peak_mb(rig.process.pid)
+        group.cancel_scope.cancel()
+    assert highest_mb < NODE_MEMORY_MB
+    assert set(usual.outcomes) <= {"satisfied", "turned back"}
+
+
+@pytest.mark.parametrize("kind", EDGE_KINDS)
+async def test_unfinished_requests_do_not_fill_an_edge(tmp_path: Path, kind: str) -> None:
+    # Guards against incomplete bodies, which `held_bytes` did not count.
+    behaviours = {"a": [after_delay(5, respond_ok)], "b": [after_delay(5, respond_ok)]}
+    limits = {"held_bytes": HELD_BYTES}
+    async with (
+        run_edge(behaviours) as rig,
+        run_edge_process(tmp_path, rig.discovery_port, limits=limits) as edge,
+    ):
+        rig.pool.port = edge.port
+
+        async def call_edge() -> str:
+            """Sends one usual request to the edge."""
+            status, _ = await rig.call(left=DEADLINE_SECONDS * 1000)
+            return "satisfied" if status == 200 else str(status)
+
+        usual = await play(edge.port, EDGE_KINDS[kind], [call_edge] * 2)
+        highest_mb = peak_mb(edge.process.pid)
+    usual.check()
+    assert highest_mb < EDGE_BASE_MB + HELD_BYTES / 1e6 + CLIENTS * CONNECTION_MB
+
+
+async def test_the_oldest_unfinished_request_is_refused_first(tmp_path: Path) -> None:
+    # Guards against a bound that refuses whoever comes last, however long others have kept their places.
+    async with run_node(tmp_path) as rig:
+        rig.node.listener.input_memory.limit_bytes = 2 * 65_000
+        clients = [await rig.connect_client() for _ in range(3)]
+        for client in clients:
+            kept_bytes = rig.node.listener.input_memory.kept_bytes
+            await client.send(HALF_OF_A_MESSAGE + b"A" * 60_000)
+            if client is not clients[-1]:
+                await until(
+                    lambda before=kept_bytes: rig.node.listener.input_memory.kept_bytes > before + 60_000
+                )
+        assert outcome_of(await clients[0].receive_response()) == "turned back"
+        assert await clients[0].receive_response() is None
+        assert rig.node.dispatcher.counts["client", "refused input"] == 1
+        rest = 65_000 - 60_000 - len(HALF_OF_A_MESSAGE) + HALF_OF_A_MESSAGE.index(b"{")
+        for client in clients[1:]:
+            await client.send(b"A" * (rest - 3) + b'"}}')
+            # it was read to its end, and is no valid request
+            assert outcome_of(await client.receive_response()) == "error -32602"
+        assert rig.node.listener.input_memory.kept_bytes == 0
+
+
+async def test_what_ended_connections_kept_is_counted_no_more(tmp_path: Path) -> None:
+    # Guards against an account that grows with each client, until all input is refused.
+    ping = message({"jsonrpc": "2.0", "id": 1, "method": "ping", "params": {}})
+    async with run_node(tmp_path) as rig:
+        memory = rig.node.listener.input_memory
+        for data in (HALF_OF_A_MESSAGE, ping * 20 * MESSAGES_PER_TURN, b"Content-Len"):
+            client = await rig.connect_client()
+            await client.send(data)
+            await until(lambda: memory.kept_bytes)
+            await client.stream.aclose()
+            await until(lambda: not rig.node.listener.clients)
+            assert memory.kept_bytes == 0
+
+
+async def test_a_server_counts_what_its_connections_keep_and_refuses_the_oldest() -> None:
+    # Guards against incomplete messages of many connections that nothing bounds together.
+    async def handler(_message: Any, _arrived_ns: int) -> Reply:
+        return Reply(200, [])
+
+    refused: list[None] = []
+    server = Server(
+        handler,
+        ServerLimits(received_bytes=50_000),
+        make_error_reply=lambda status, _: Reply(status, []),
+        make_fault_reply=lambda _: Reply(500, []),
+        count_refused_input=lambda: refused.append(None),
+    )
+    listener, port = await listen("127.0.0.1", 0)
+    head = b"POST / HTTP/1.1\r\nhost: e\r\ncontent-length: 30000\r\n\r\n"
+    async with anyio.create_task_group() as group:
+        group.start_soon(server.serve, listener)
+        first, second = [await anyio.connect_tcp("127.0.0.1", port) for _ in range(2)]
+        await first.send(head + b"A" * 29_000)
+        await until(lambda: server.input_memory.kept_bytes >= 29_000)
+        await second.send(head + b"A" * 29_000)
+        assert (await first.receive()).startswith(b"HTTP/1.1 503 ")
+        await second.send(b"A" * 1_000)
+        assert (await second.receive()).startswith(b"HTTP/1.1 200 ")
+        await first.aclose()
+        await second.aclose()
+        await until(lambda: not server.connections)
+        assert server.input_memory.kept_bytes == 0 and len(refused) == 1
+        group.cancel_scope.cancel()
