Of two workers at one address, the one that started last is there and the other has gone

Membership knew workers by id alone: a new id at the address of one that was not told gone yet left both up, and what was sent to the old one, as warm, reached the new and cold process. A process that came back under its id and address kept its predecessor's connections.

Connections are retired with the incarnation as with the address.

--- a/martenlead/edge/http_membership.py
+++ b/martenlead/edge/http_membership.py
@@ -121,7 +121,10 @@
         now_ns = dispatcher.clock()
         dated = []
         for endpoint in self.endpoint_list.endpoints.values():
-            started_ns = dispatcher.workers[endpoint.id].started_ns
+            worker = dispatcher.workers.get(endpoint.id)
+            if worker is None:  # it has gone, as a later one has its address
+                continue
+            started_ns = worker.started_ns
             age_ms = (now_ns - started_ns) / NS_PER_MS if started_ns else None
             dated.append(msgspec.structs.replace(endpoint, age_ms=age_ms))
         return endpoints.make_cached_endpoints(self.endpoint_list.version, dated)
--- a/martenlead/edge/membership.py
+++ b/martenlead/edge/membership.py
@@ -10,6 +10,7 @@
 import msgspec
 import structlog
 
+from martenlead.edge.address_owners import AddressOwners
 from martenlead.edge.decision_loop import DecisionLoop
 from martenlead.edge.interfaces import ConnectionFactory
 from martenlead.edge.records import PolicyWorker, UpstreamWorker
@@ -41,6 +42,7 @@
         self.snapshot_received = anyio.Event()  # set at the first snapshot
         self.log = structlog.get_logger().bind(edge=name)
         self._connection_factory = connection_factory
+        self._address_owners = AddressOwners()
 
     def update_endpoints(self, endpoints: list[Endpoint], is_snapshot: bool) -> None:
         """Applies a delta or a snapshot.
@@ -54,6 +56,7 @@
         changes: list[WorkerChange] = [
             (worker.policy_worker, self._gone_facts(worker)) for worker in gone
         ]
+        displaced: list[UpstreamWorker] = []
         for endpoint in endpoints:
             worker = None if self._is_known(endpoint) else self._find_or_add_worker(endpoint)
             if worker is None:
@@ -62,11 +65,18 @@
                 gone.append(worker)
                 worker.is_gone = True  # set now: a successor with the same id may follow
             else:
+                other = self._address_owners.find_other(endpoint)
                 worker.endpoint = endpoint
+                self._address_owners.set_owner(worker)
+                displaced += [other] if other is not None else []
             facts = self._update_facts(worker, endpoint)
             changes.append((worker.policy_worker, facts))
             if is_logged_each:
                 self._log_change(endpoint, facts)
+        for worker in self._find_displaced(displaced):
+            changes.append((worker.policy_worker, self._gone_facts(worker)))
+            gone.append(worker)
+            self.log.info("worker_displaced", worker=worker.endpoint.id)
         boundary = self.decision_loop.policy_boundary
         self.decision_loop.decide(boundary.update_workers, changes, is_snapshot and is_first)
         for worker in gone:
@@ -76,6 +86,15 @@
         if is_snapshot:
             self.snapshot_received.set()
 
+    def _find_displaced(self, candidates: list[UpstreamWorker]) -> list[UpstreamWorker]:
+        """Returns those whose address a worker has that started later: they have gone."""
+        owners = self._address_owners
+        return [
+            worker
+            for worker in dict.fromkeys(candidates)
+            if not worker.is_gone and owners.has_later_owner(worker.endpoint, worker.started_ns)
+        ]
+
     def _missing_workers(self, endpoints: list[Endpoint]) -> list[UpstreamWorker]:
         """Returns the workers that a snapshot does not list."""
         listed = {endpoint.id for endpoint in endpoints}
@@ -87,6 +106,7 @@
 
     def _remove(self, worker: UpstreamWorker) -> None:
         worker.is_gone = True
+        self._address_owners.remove(worker)
         self._connection_factory.retire_connections(worker.connections)
         self.forget_if_gone(worker)
 
@@ -109,15 +129,21 @@
         return known == endpoint or known == msgspec.structs.replace(endpoint, age_ms=known.age_ms)
 
     def _find_or_add_worker(self, endpoint: Endpoint) -> UpstreamWorker | None:
-        """Returns the worker of an endpoint, created if it is new; None if unknown and gone."""
+        """Returns the worker of an endpoint, created if it is new.
+
+        None if it is unknown and gone, as is one whose address a later worker has.
+        """
         worker = self.workers.get(endpoint.id)
         if endpoint.state == "gone":
             return worker
         factory = self._connection_factory
         if worker is None or worker.is_gone:  # new process with that id: nothing in flight
+            started_ns = self._to_started_ns(endpoint.age_ms)
+            if self._address_owners.has_later_owner(endpoint, started_ns):
+                return None
             worker = UpstreamWorker(endpoint, factory.create_connections(endpoint))
             self.workers[endpoint.id] = worker
-        elif (endpoint.host, endpoint.port) != (worker.endpoint.host, worker.endpoint.port):
+        elif _names_process(endpoint) != _names_process(worker.endpoint):
             factory.retire_connections(worker.connections)
             worker.connections = factory.create_connections(endpoint)
         return worker
@@ -171,5 +197,10 @@
             self.log.info("drain_announced", worker=endpoint.id)
 
 
+def _names_process(endpoint: Endpoint) -> tuple[str, int, str]:
+    """Returns what differs for another process, to which no connection of this one leads."""
+    return endpoint.host, endpoint.port, endpoint.incarnation
+
+
 def _weight(endpoint: Endpoint) -> float:
     return endpoint.weight or endpoint.memory_mb or UNKNOWN_WEIGHT
