Clean-up: what a client connection has received is a module of its own

The scheduler keeps each connection once: one whose input was read before an attempt and came again stood twice in its queue. Two tests reach the decoder under its new place, and ask the same.

--- a/martenlead/node/client_connection.py
+++ b/martenlead/node/client_connection.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import os
-from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Any, Protocol
@@ -20,12 +19,11 @@
 from martenlead.node.client_protocol import (
     INVALID_REQUEST,
     REQUEST_REJECTED,
-    FramingError,
-    MessageDecoder,
     encode_error,
 )
 from martenlead.node.graceful_close import LAST_READS_NS, NS_PER_MS, GracefulClose
 from martenlead.node.input_scheduler import InputScheduler
+from martenlead.node.received_messages import ReceivedMessages
 from martenlead.node.sockets import readable
 from martenlead.system.input_memory import InputMemory
 from martenlead.system.sender import Sender
@@ -49,11 +47,6 @@
 # Size and number of the reads of one call of `read_unread_input`
 READ_BYTES = 262_144
 READS_PER_TURN = 4
-# Messages that a connection handles in one turn, and as they are read: within the limit of open
-# requests, a client that cancels each of them does not exceed it
-MESSAGES_PER_TURN = 64
-# A connection that handles more messages as they are read in this time takes turns with others
-QUOTA_WINDOW_NS = 50 * NS_PER_MS
 
 
 class MessageHandler(Protocol):
@@ -95,15 +88,10 @@
         self.listener = listener
         self.transport: Any = None  # asyncio's or uvloop's
         self.sender: Sender
-        self.decoder = MessageDecoder()
-        # Messages of the last read that were not handled yet; nothing is read meanwhile.
-        self._waiting: deque[bytes] = deque()
-        self._waiting_bytes = 0
-        self._recorded_bytes = 0  # of `kept_bytes`, in the listener's account
-        self._framing_error_text = ""  # of what follows them; empty if it is valid
-        self._read_ns = self._arrived_ns = 0  # when they were read, and may have arrived
-        self._window_start_ns = 0  # of the quota
-        self._handled_in_window = 0
+        # Of the last read; nothing is read while messages of it wait.
+        self.received = ReceivedMessages()
+        self._read_ns = self._arrived_ns = 0  # when that was, and when they may have arrived
+        self._recorded_bytes = 0  # of what is kept of it, in the listener's account
         self.open_requests: dict[int, PendingRequest] = {}
         self.counted_until_ns: list[int] = []  # when ended requests stop counting as open
         self.last_number = 0
@@ -158,44 +146,30 @@
     def _process(self, data: bytes, now_ns: int) -> None:
         if self.is_unreadable:
             return
-        try:
-            messages = self.decoder.feed(data)
-        except FramingError as error:
-            messages, self._framing_error_text = error.complete_messages, error.detail
+        has_waiting = bool(self.received)  # it is read before one of its attempts
+        complete = self.received.feed(data)
         self._arrived_ns, self._read_ns = self._earliest_arrival_ns(now_ns, len(data)), now_ns
-        if messages:
+        if complete:
             self.last_read_ns = now_ns
-        if not self.decoder.has_partial_message:
+        if not self.received.has_partial_message:
             self.partial_since_ns = 0
-        elif messages or not self.partial_since_ns:
+        elif complete or not self.partial_since_ns:
             self.partial_since_ns = now_ns
-        if self._waiting:  # read before one of its attempts
-            self._add_waiting(messages)
-            return
-        quota = self._remaining_quota(now_ns)
-        self._handled_in_window += min(quota, len(messages))
-        if len(messages) <= quota:
-            self._handle_messages(messages)
+        if has_waiting:
             return
-        self._add_waiting(messages[quota:])
-        # what follows lies unread from now on
-        self.unread_since_ns = self.unread_since_ns or now_ns
-        self._handle_messages(messages[:quota])
-        if not self.is_closed:
+        messages = self.received.take_at_once(now_ns)
+        if self.received:  # what follows lies unread from now on
+            self.unread_since_ns = self.unread_since_ns or now_ns
+        self._handle_messages(messages)
+        if self.received and not self.is_closed:
             self._update_reading()
             self.listener.input_scheduler.add(self)
 
-    def _remaining_quota(self, now_ns: int) -> int:
-        """Returns how many messages may be handled as they are read."""
-        if now_ns - self._window_start_ns > QUOTA_WINDOW_NS:
-            self._window_start_ns, self._handled_in_window = now_ns, 0
-        return max(0, MESSAGES_PER_TURN - self._handled_in_window)
-
     def _handle_messages(self, messages: list[bytes]) -> None:
         """Handles messages of the last read; behind the last one, reports an invalid rest."""
         self.listener.requests.handle_messages(self, messages, self._arrived_ns, self._read_ns)
-        if self._framing_error_text and not self._waiting:
-            self.write(encode_error(None, INVALID_REQUEST, self._framing_error_text))
+        if self.received.framing_error_text and not self.received:
+            self.write(encode_error(None, INVALID_REQUEST, self.received.framing_error_text))
             self._stop_decoding()
             self.begin_graceful_close()
 
@@ -204,7 +178,7 @@
     @property
     def waiting_messages(self) -> int:
         """The number of messages that were read and wait to be handled."""
-        return len(self._waiting)
+        return len(self.received)
 
     @property
     def peer_address(self) -> str:
@@ -216,10 +190,7 @@
         if self.is_closed:
             return
         with self._reading():
-            count = min(MESSAGES_PER_TURN, len(self._waiting))
-            messages = [self._waiting.popleft() for _ in range(count)]
-            self._waiting_bytes -= sum(map(len, messages))
-            self._handle_messages(messages)
+            self._handle_messages(self.received.take_turn())
         self._update_reading()
 
     def _stop_decoding(self) -> None:
@@ -228,29 +199,18 @@
         self._discard_input()
 
     def _discard_input(self) -> None:
-        self.decoder.discard()
-        self._waiting.clear()
-        self._waiting_bytes = 0
+        self.received.discard()
         self._record_kept_bytes()
 
     # -- received bytes that are kept
 
-    def _add_waiting(self, messages: list[bytes]) -> None:
-        self._waiting.extend(messages)
-        self._waiting_bytes += sum(map(len, messages))
-
-    @property
-    def kept_bytes(self) -> int:
-        """The bytes of messages that are incomplete or wait."""
-        return self.decoder.kept_bytes + self._waiting_bytes
-
     @property
     def refusable_bytes(self) -> int:
-        """The same: a client of so many bytes that are incomplete or wait is refused as a whole."""
-        return self.kept_bytes
+        """The bytes of messages that are incomplete or wait: it is refused with all of them."""
+        return self.received.kept_bytes
 
     def _record_kept_bytes(self) -> None:
-        difference_bytes = self.kept_bytes - self._recorded_bytes
+        difference_bytes = self.received.kept_bytes - self._recorded_bytes
         self._recorded_bytes += difference_bytes
         if difference_bytes:
             self.listener.input_memory.change(difference_bytes)
@@ -299,7 +259,7 @@
     def peek_input(self) -> UnreadInput:
         """Returns what is pending on the connection, without reading or handling it."""
         unread = UnreadInput.END if self.is_closed else sockets.peek_input(self.transport)
-        return UnreadInput.BYTES if unread is UnreadInput.NOTHING and self._waiting else unread
+        return UnreadInput.BYTES if unread is UnreadInput.NOTHING and self.received else unread
 
     def read_unread_input(self) -> bool:
         """Reads pending input ahead of the event loop, up to a limit; returns whether none is left.
@@ -307,12 +267,12 @@
         If the client does not read and the connection is closing, its input stays unread: there is
         no room for the responses. Messages that wait come first, and nothing is read behind them.
         """
-        if self._waiting:
+        if self.received:
             self.handle_next_messages()
         try:
             self._read_socket()
         except BlockingIOError:
-            return not self._waiting  # the kernel has no input, even if polling the socket failed
+            return not self.received  # the kernel has no input, even if polling the socket failed
         except InterruptedError:
             pass
         except OSError:
@@ -326,7 +286,7 @@
         for _ in range(READS_PER_TURN):
             if self.write_blocked_since_ns and self.graceful_close is not None:
                 return
-            if self._waiting or self.peek_input() is not UnreadInput.BYTES:
+            if self.received or self.peek_input() is not UnreadInput.BYTES:
                 return
             data = os.read(sockets.descriptor(self.transport), READ_BYTES)
             if not data:
@@ -408,7 +368,7 @@
         if self.is_closed or self.transport.is_closing():
             return
         is_blocked = self.graceful_close is not None and bool(self.write_blocked_since_ns)
-        if self._waiting or is_blocked:
+        if self.received or is_blocked:
             self._pause_reading()
         elif not self.transport.is_reading():
             self.transport.resume_reading()
@@ -427,11 +387,11 @@
             return False
         if self.partial_since_ns and now_ns - self.partial_since_ns <= LAST_READS_NS:
             return False
-        return not self._waiting and not readable(self.transport)
+        return not self.received and not readable(self.transport)
 
     def is_idle(self, now_ns: int) -> bool:
         """Whether the connection has been idle for longer than its timeout."""
-        if self.open_requests or self.graceful_close is not None or self._waiting:
+        if self.open_requests or self.graceful_close is not None or self.received:
             return False
         if self.write_blocked_since_ns:
             return now_ns - self.write_blocked_since_ns > STALLED_CLIENT_TIMEOUT_NS
--- a/martenlead/node/input_scheduler.py
+++ b/martenlead/node/input_scheduler.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
@@ -45,14 +44,14 @@
     def __init__(self, clock: Callable[[], int], count_deferral: Callable[[], None]) -> None:
         """`clock` returns ns; `count_deferral` is called whenever messages begin to wait."""
         self._clock, self._count_deferral = clock, count_deferral
-        self._waiting: deque[WaitingConnection] = deque()
+        self._waiting: dict[WaitingConnection, None] = {}  # the next first
         self._is_scheduled = False
         self._logged_ns = -LOG_INTERVAL_NS
         self._log = structlog.get_logger()
 
     def add(self, connection: WaitingConnection) -> None:
         """Adds a connection whose messages began to wait."""
-        self._waiting.append(connection)
+        self._waiting[connection] = None
         self._count_deferral()
         self._log_deferral(connection)
         self._schedule(0.0)
@@ -79,11 +78,11 @@
         self._is_scheduled = False
         began_ns = self._clock()
         elapsed_ns = 0
-        for _ in range(len(self._waiting)):
-            connection = self._waiting.popleft()
+        for connection in list(self._waiting):
+            del self._waiting[connection]
             connection.handle_next_messages()
             if connection.waiting_messages:
-                self._waiting.append(connection)
+                self._waiting[connection] = None
             elapsed_ns = self._clock() - began_ns
             if elapsed_ns >= ITERATION_NS:
                 break
--- a/tests/test_answer_before_close.py
+++ b/tests/test_answer_before_close.py
@@ -216,7 +216,7 @@
             """Raises for any input."""
             raise KeyError("a bug in the node")
 
-        monkeypatch.setattr(connection.decoder, "feed", feed)
+        monkeypatch.setattr(connection.received.decoder, "feed", feed)
         if how == "before an attempt":
             os.write(client.stream.extra(SocketAttribute.raw_socket).fileno(), client.encode_request())
             assert connection.read_unread_input() and connection.graceful_close
--- a/tests/test_input_scheduler.py
+++ b/tests/test_input_scheduler.py
@@ -9,8 +9,9 @@
 import pytest
 
 from martenlead.edge.cancellation import UnreadInput
-from martenlead.node.client_connection import MESSAGES_PER_TURN, ClientConnection
+from martenlead.node.client_connection import ClientConnection
 from martenlead.node.input_scheduler import ITERATION_NS, InputScheduler
+from martenlead.node.received_messages import MESSAGES_PER_TURN
 from support.fleet import until
 from tests.nodes import Client, NodeRig, message, outcome_of, run_node, silent
 
--- a/tests/test_interruptions.py
+++ b/tests/test_interruptions.py
@@ -31,8 +31,8 @@
         await until(lambda: rig.node.listener.clients)
         (connection,) = rig.node.listener.clients
         read_sizes: list[int] = []
-        feed = connection.decoder.feed
-        connection.decoder.feed = lambda data: read_sizes.append(len(data)) or feed(data)
+        feed = connection.received.decoder.feed
+        connection.received.decoder.feed = lambda data: read_sizes.append(len(data)) or feed(data)
         first, second = client.encode_request("unsafe"), client.encode_request("unsafe")
         for position, byte in enumerate(first + second):
             await client.send(bytes([byte]))
--- a/tests/test_unfinished_requests.py
+++ b/tests/test_unfinished_requests.py
@@ -14,7 +14,7 @@
 import pytest
 
 from martenlead.events.server import Reply, Server, ServerLimits, listen
-from martenlead.node.client_connection import MESSAGES_PER_TURN
+from martenlead.node.received_messages import MESSAGES_PER_TURN
 from support.fleet import after_delay, respond_ok, run_edge, until
 from support.full_speed_client import peak_mb
 from tests.apart import run_node_process, serve_journal
