--- a/support/soak/journal.py
+++ b/support/soak/journal.py
@@ -105,7 +105,8 @@
             self._group.start_soon(self._report_later, len(self.events), self._incarnation)
 
     async def _report_later(self, events: int, incarnation: int) -> None:
-        await anyio.sleep(self._reported_by_seconds - anyio.current_time())
+        # that time may be over, if the process is late or the node was away for long
+        await anyio.sleep(max(0.0, self._reported_by_seconds - anyio.current_time()))
         if self._incarnation == incarnation:
             self._record_reported(events)
 
--- a/tests/test_full_speed_clients.py
+++ b/tests/test_full_speed_clients.py
@@ -8,22 +8,21 @@
 
 import json
 import sys
-from collections import Counter
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import anyio
 import pytest
-from anyio.abc import Process
 
 from martenlead.events import http
 from martenlead.events.client import Pool
-from support.fleet import REQUEST_CLASSES, after_delay, respond_ok, run_edge
+from support.edge_process import run_edge_process
+from support.fleet import after_delay, respond_ok, run_edge
 from support.full_speed_client import full_speed_clients, peak_mb
 from support.peers import unused_port
+from support.usual_requests import DEADLINE_SECONDS, UsualRequests
 from tests.apart import run_node_process, serve_journal
 from tests.nodes import Client
 
@@ -32,40 +31,11 @@
 FLOODING_CLIENTS = 6
 FLOOD_SECONDS = 5.0
 USUAL_CLIENTS = 4
-PAUSE_SECONDS = 0.05
-DEADLINE_SECONDS = 1.5  # `wait` and `timeleftms` of the usual requests
-LOST_AFTER_SECONDS = DEADLINE_SECONDS + 0.5  # STANDING.md: a response later than that counts as lost
 # benchmarks/floods.py: what the settings of an edge allow it, without functions and bodies
 EDGE_BASE_MB, CONNECTION_MB = 75, 0.25
 READY_SECONDS = 20.0
 
 
-@dataclass
-class UsualRequests:
-    """The outcomes of the requests of clients that keep to the protocol."""
-
-    outcomes: Counter[str] = field(default_factory=Counter)
-    seconds: list[float] = field(default_factory=list)
-
-    async def send(self, call: Callable[[], Awaitable[str]], until: float) -> None:
-        """Sends one request after the other, up to a time of the event loop."""
-        while anyio.current_time() < until:
-            began = anyio.current_time()
-            outcome = "no answer"
-            with anyio.move_on_after(LOST_AFTER_SECONDS):
-                outcome = await call()
-            self.outcomes[outcome] += 1
-            self.seconds.append(anyio.current_time() - began)
-            if outcome == "no answer":
-                return
-            await anyio.sleep(PAUSE_SECONDS)
-
-    def check(self, *allowed: str) -> None:
-        """Checks that each request succeeded, or got another allowed response, in its time."""
-        assert self.outcomes["satisfied"] and set(self.outcomes) <= {"satisfied", *allowed}, self.outcomes
-        assert max(self.seconds) < DEADLINE_SECONDS
-
-
 async def call_node(client: Client, first: int) -> str:
     """Sends one usual request to a node; its id differs from those of the floods."""
     client.last_number = max(client.last_number, first)
@@ -102,36 +72,6 @@
     usual.check(*(["turned back"] if kind == "requests under new names" else []))
 
 
-@dataclass
-class EdgeProcess:
-    """An edge as a process of its own."""
-
-    process: Process
-    port: int
-
-
-@asynccontextmanager
-async def run_edge_process(
-    tmp_path: Path, discovery_port: int, **settings: Any
-) -> AsyncIterator[EdgeProcess]:
-    """Starts an edge, and kills it behind the block."""
-    config = tmp_path / "edge.json"
-    config.write_text(
-        json.dumps({"roster": {"port": discovery_port}, "offerings": REQUEST_CLASSES, **settings})
-    )
-    command = [sys.executable, "-m", "martenlead", "edge", str(config)]
-    process = await anyio.open_process(command, stderr=None)
-    assert process.stdout is not None
-    try:
-        with anyio.fail_after(READY_SECONDS):
-            ready = json.loads(await process.stdout.receive())
-        yield EdgeProcess(process, ready["ready"]["port"])
-    finally:
-        process.kill()
-        with anyio.CancelScope(shield=True):
-            await process.wait()
-
-
 @pytest.mark.parametrize("kind", ["paths that do not exist", "invalid events", "no http"])
 async def test_clients_at_full_speed_neither_fill_an_edge_nor_hold_it_up(tmp_path: Path, kind: str) -> None:
     # Guards against input that an edge reads faster than it answers, and keeps.
--- a/tests/test_unfinished_requests.py
+++ b/tests/test_unfinished_requests.py
@@ -15,18 +15,17 @@
 
 from martenlead.events.server import Reply, Server, ServerLimits, listen
 from martenlead.node.received_messages import MESSAGES_PER_TURN
+from support.edge_process import run_edge_process
 from support.fleet import after_delay, respond_ok, run_edge, until
 from support.full_speed_client import peak_mb
+from support.usual_requests import DEADLINE_SECONDS, UsualRequests
 from tests.apart import run_node_process, serve_journal
 from tests.nodes import CONNECTION_ERRORS, Client, message, outcome_of, run_node
 from tests.test_full_speed_clients import (
     CONNECTION_MB,
-    DEADLINE_SECONDS,
     EDGE_BASE_MB,
     READY_SECONDS,
-    UsualRequests,
     call_node,
-    run_edge_process,
 )
 
 pytestmark = pytest.mark.anyio
