Test: what lies unread behind a full pipeline does so behind 1,024 waiting responses

Requests still lie unread behind 1,024 responses that wait, so the test sets that bound to none, and checks the times left as before: all four requests reach a worker with them.

--- a/tests/test_deadline_passed_on.py
+++ b/tests/test_deadline_passed_on.py
@@ -225,6 +225,7 @@
             client.sendall(told)
         case "unread behind a full pipeline":
             monkeypatch.setattr("martenlead.events.connection.READ_AHEAD_BYTES", 1)
+            monkeypatch.setattr("martenlead.events.connection.WAITING_RESPONSES", 0)
             for number in range(4):
                 client.sendall(told.replace(b"ce-id: t1", b"ce-id: t%d" % number))
                 await anyio.sleep(0.02)
