Test: an edge gets the load once it has its workers, from a process of its own

An edge says that it is ready before discovery has told it of workers, and rejects what comes until then, which is right ('no runner may take it now', no attempt). The test sent at once, and its 300 writers delayed the discovery service, which ran in the same process, by up to 2.7 s.

The check was wrong in that it demanded success before the edge could know a worker. Now the rig waits until one request succeeds, as the node's rig does, and then the same load, bounds and checks begin; usual requests are all to succeed as before. The writers have a process of their own (support/unfinished_clients.py), which says how many beginnings it has written: fewer than the clients fail the test, so that it cannot pass without its load. The other two tests with an edge as a process wait in the same way; one of them could have passed without any attempt.

--- a/support/fleet.py
+++ b/support/fleet.py
@@ -6,6 +6,7 @@
 import struct
 from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
+from http import HTTPStatus
 from socket import SO_LINGER, SOL_SOCKET
 from typing import Any
 
@@ -222,6 +223,13 @@
         assert exchange.message is not None, exchange
         return exchange.message.status, json.loads(exchange.message.body or b"{}")
 
+    async def wait_until_up(self, within: float) -> None:
+        """Sends requests until one succeeds: an edge in a process of its own says that it is ready before it
+        has the endpoint list. Fails after `within` seconds."""
+        with anyio.fail_after(within):
+            while (await self.call())[0] != HTTPStatus.OK:
+                await anyio.sleep(0.01)
+
     async def exchange(
         self, kind: str = "estimate", *, left: float | None = 1500, ident: str = "", **more: AttributeValue
     ) -> Exchange:
--- a/tests/test_clients_that_close.py
+++ b/tests/test_clients_that_close.py
@@ -153,6 +153,8 @@
         run_edge({"a": [slow], "b": [slow]}) as rig,
         run_edge_process(tmp_path, rig.discovery_port) as edge,
     ):
+        rig.pool.port = edge.port
+        await rig.wait_until_up(READY_SECONDS)
         connection = AbandonedConnection(edge.port)
         data = b"".join(edge_request(number) for number in range(REQUESTS))
         await connection.write_and_end(data, way)
--- a/tests/test_full_speed_clients.py
+++ b/tests/test_full_speed_clients.py
@@ -83,6 +83,7 @@
     behaviours = {"a": [after_delay(5, respond_ok)], "b": [after_delay(5, respond_ok)]}
     async with run_edge(behaviours) as rig, run_edge_process(tmp_path, rig.discovery_port) as edge:
         rig.pool.port = edge.port
+        await rig.wait_until_up(READY_SECONDS)
 
         async def call_edge() -> str:
             """Sends one usual request to the edge."""
--- a/tests/test_unfinished_requests.py
+++ b/tests/test_unfinished_requests.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -18,9 +17,10 @@
 from support.edge_process import run_edge_process
 from support.fleet import after_delay, respond_ok, run_edge, until
 from support.full_speed_client import peak_mb
+from support.unfinished_clients import HALF_OF_A_MESSAGE, unfinished_clients
 from support.usual_requests import DEADLINE_SECONDS, UsualRequests
 from tests.apart import run_node_process, serve_journal
-from tests.nodes import CONNECTION_ERRORS, Client, message, outcome_of, run_node
+from tests.nodes import message, outcome_of, run_node
 from tests.test_full_speed_clients import (
     CONNECTION_MB,
     EDGE_BASE_MB,
@@ -32,59 +32,21 @@
 
 CLIENTS = 300
 SECONDS = 5.0
-WRITE_INTERVAL_SECONDS = 0.2
 NODE_MEMORY_MB, NODE_DESCRIPTORS = 48, 1024
 HELD_BYTES = 8_000_000
-HALF_OF_A_MESSAGE = (
-    b'Content-Length: 65000\r\n\r\n{"jsonrpc":"2.0","id":40,"method":"safe","params":{"blob":"'
-)
-CHUNKED_HEAD = b"POST / HTTP/1.1\r\nhost: e\r\ntransfer-encoding: chunked\r\n\r\n"
-
-
-def whole_requests(number: int) -> bytes:
-    """Returns as many large requests as a client may have open, under ids of its own."""
-    client = Client(None)  # type: ignore[arg-type]
-    blob = "A" * 20_000
-    ids = (f"{number:08x}{place:08x}" for place in range(31))
-    return b"".join(client.encode_request("unsafe", id=request_id, blob=blob) for request_id in ids)
-
-
-NODE_KINDS: dict[str, Callable[[int], bytes]] = {
-    "half of a request": lambda _: HALF_OF_A_MESSAGE + b"A" * 64_000,
-    "requests and half of one": lambda number: whole_requests(number) + HALF_OF_A_MESSAGE + b"A" * 64_000,
-}
-EDGE_KINDS: dict[str, Callable[[int], bytes]] = {
-    "half of a body": lambda _: (
-        b"POST / HTTP/1.1\r\nhost: e\r\ncontent-length: 1000000\r\n\r\n" + b"A" * 900_000
-    ),
-    "half of a body in chunks": lambda _: CHUNKED_HEAD + (b"4000\r\n" + b"A" * 16_384 + b"\r\n") * 50,
-    "many short fields": lambda _: b"POST / HTTP/1.1\r\nhost: e\r\n" + b"a:b\r\n" * 98,
-}
-
-
-async def keep_unfinished(port: int, data: bytes, until_time: float) -> None:
-    """Writes the beginning of a request, then a byte now and then; connects again once that has ended."""
-    while anyio.current_time() < until_time:
-        with suppress(*CONNECTION_ERRORS), anyio.move_on_after(until_time - anyio.current_time()):
-            async with await anyio.connect_tcp("127.0.0.1", port) as stream:
-                await stream.send(data)
-                while True:
-                    await anyio.sleep(WRITE_INTERVAL_SECONDS)
-                    await stream.send(b"A")
-        await anyio.sleep(WRITE_INTERVAL_SECONDS)
-
-
-async def play(
-    port: int, data: Callable[[int], bytes], calls: list[Callable[[], Awaitable[str]]]
-) -> UsualRequests:
+NODE_KINDS = ("half of a request", "requests and half of one")
+EDGE_KINDS = ("half of a body", "half of a body in chunks", "many short fields")
+
+
+async def play(port: int, kind: str, calls: list[Callable[[], Awaitable[str]]]) -> UsualRequests:
     """Runs the unfinished clients beside usual ones."""
     usual = UsualRequests()
-    until_time = anyio.current_time() + SECONDS
-    async with anyio.create_task_group() as group:
-        for number in range(CLIENTS):
-            group.start_soon(keep_unfinished, port, data(number), until_time)
-        for call in calls:
-            group.start_soon(usual.send, call, until_time)
+    async with unfinished_clients(port, kind, CLIENTS, SECONDS) as unfinished:
+        until_time = anyio.current_time() + SECONDS
+        async with anyio.create_task_group() as group:
+            for call in calls:
+                group.start_soon(usual.send, call, until_time)
+    assert unfinished.beginnings >= CLIENTS
     return usual
 
 
@@ -101,7 +63,7 @@
         calls = [
             lambda c=client, f=place << 48: call_node(c, f) for place, client in enumerate(clients, start=1)
         ]
-        usual = await play(rig.port, NODE_KINDS[kind], calls)
+        usual = await play(rig.port, kind, calls)
         highest_mb = peak_mb(rig.process.pid)
         group.cancel_scope.cancel()
     assert highest_mb < NODE_MEMORY_MB
@@ -118,13 +80,14 @@
         run_edge_process(tmp_path, rig.discovery_port, limits=limits) as edge,
     ):
         rig.pool.port = edge.port
+        await rig.wait_until_up(READY_SECONDS)
 
         async def call_edge() -> str:
             """Sends one usual request to the edge."""
             status, _ = await rig.call(left=DEADLINE_SECONDS * 1000)
             return "satisfied" if status == 200 else str(status)
 
-        usual = await play(edge.port, EDGE_KINDS[kind], [call_edge] * 2)
+        usual = await play(edge.port, kind, [call_edge] * 2)
         highest_mb = peak_mb(edge.process.pid)
     usual.check()
     assert highest_mb < EDGE_BASE_MB + HELD_BYTES / 1e6 + CLIENTS * CONNECTION_MB
