An edge accepts the identity of a request that may have run only once

An edge kept no identities.

Cause: what a request may do was decided for its own attempts only; nothing outlived the request. Class: state that is given up before the promise that it serves has ended, as with the node's ids.

Now the edge remembers a digest of tenant, source and id when it closes a request that may have run, if a repeat is not harmless everywhere (unrepeatable; deduplicated in a zone or cell): for the longest deadline, 10 s at most, and a second. The same again, or while it is open, gets 409 and counts as refused/id. The policy says which classes these are (`is_repeat_harmless`), as it does for rejections. FinishedIds moves from node to system, with its time of retention.

--- a/martenlead/edge/dispatcher.py
+++ b/martenlead/edge/dispatcher.py
@@ -91,6 +91,8 @@
         self.pending_bytes = 0
         self.least_time_left_ns: int | None = None  # before the deadline, at final responses
         self._in_flight: dict[Attempt, InFlightAttempt] = {}
+        # set by a listener that remembers the identities of requests
+        self.record_close: Callable[[bytes, bool], None] | None = None
         # set by components whose status is reported to operators
         self.report_planner: StatusReporter | None = None
         self.report_queues: StatusReporter | None = None
@@ -183,15 +185,19 @@
         self, request: PendingRequest, policy_request: Request, reason: str
     ) -> None:
         """Rejects a request that certainly did not run; fails one that may have."""
+        may_reject = self._may_repeat(policy_request)
+        request.reason = reason
+        request.end(FinalOutcome.REJECTED if may_reject else FinalOutcome.FAILED)
+
+    def _may_repeat(self, policy_request: Request) -> bool:
+        """Whether the client may repeat a request, as it certainly did not run or has no effect."""
         in_flight = [self._in_flight.get(attempt) for attempt in policy_request.attempts]
         unsent = [
             attempt.policy_attempt
             for attempt in in_flight
             if attempt is not None and not self.link.has_sent(attempt)
         ]
-        may_reject = self.policy_boundary.may_reject(policy_request, *unsent)
-        request.reason = reason
-        request.end(FinalOutcome.REJECTED if may_reject else FinalOutcome.FAILED)
+        return self.policy_boundary.may_reject(policy_request, *unsent)
 
     def _set_tick(self, tick_ns: int) -> None:
         self.policy_boundary.set_tick(tick_ns)
@@ -290,6 +296,8 @@
         entry = self.by_policy_function.get(policy_request.function)
         if entry is not None:
             entry.pending_requests -= 1
+        if request.incoming.identity and self.record_close is not None:
+            self.record_close(request.incoming.identity, self._may_repeat(policy_request))
         if outcome is not None:
             self.counts["final", outcome.value] += 1
             if outcome is not FinalOutcome.CLIENT_LEFT:
--- a/martenlead/edge/listener.py
+++ b/martenlead/edge/listener.py
@@ -21,6 +21,7 @@
 )
 from martenlead.edge.queue_admission import QueueAdmission
 from martenlead.edge.records import FinalOutcome, IncomingRequest, PendingRequest
+from martenlead.edge.request_identities import RequestIdentities
 from martenlead.edge.responses import (
     final_response,
     internal_error,
@@ -38,6 +39,8 @@
 )
 from martenlead.events.http import Message, MessageLimits, Peer
 from martenlead.events.server import OVERRUN_REASON, Reply, Server, ServerLimits
+from martenlead.policy.repeats import is_repeat_harmless
+from martenlead.system.finished_ids import retention_ns
 
 
 class HttpCancellationSource:
@@ -72,6 +75,10 @@
     def __init__(self, dispatcher: Dispatcher, settings: EdgeSettings) -> None:
         self.dispatcher, self.settings = dispatcher, settings
         self.log = structlog.get_logger().bind(edge=settings.name)
+        self.identities = RequestIdentities(
+            dispatcher.clock, retention_ns(dispatcher.deadlines_ns.values())
+        )
+        dispatcher.record_close = self.identities.record_close
         self.queue_admission: QueueAdmission | None = None
         if settings.queues is not None:
             self.queue_admission = QueueAdmission(dispatcher, settings, settings.queues)
@@ -105,11 +112,26 @@
         except InvalidEventError as error:
             dispatcher.counts["refused", countable_attribute(error.attribute)] += 1
             return invalid_event(error)
-        reason = self._reason_to_reject(incoming.function, len(message.body))
+        reason = self._reason_to_reject(incoming, len(message.body))
         if reason:
             dispatcher.counts["final", FinalOutcome.REJECTED.value] += 1
             return rejected_before_acceptance(reason, self._retry_after_ns)
         client = HttpCancellationSource(message.peer) if message.peer is not None else None
+        if not incoming.identity:
+            return await self._serve(incoming, event, arrived_ns, content, client)
+        with self.identities.open(incoming.identity):
+            return await self._serve(incoming, event, arrived_ns, content, client)
+
+    async def _serve(
+        self,
+        incoming: IncomingRequest,
+        event: Event,
+        arrived_ns: int,
+        content: EventContent,
+        client: HttpCancellationSource | None,
+    ) -> Reply:
+        """Serves a request that may be accepted. Cancelled if its client leaves."""
+        dispatcher = self.dispatcher
         if self.queue_admission is not None:
             return await self.queue_admission.serve(incoming, event, arrived_ns, content, client)
         size_bytes = len(content.body)
@@ -126,9 +148,12 @@
         if dispatcher.tenants and incoming.tenant not in dispatcher.tenants:
             detail = "no such customer" if incoming.tenant else "the attribute is missing"
             raise InvalidEventError("customer", detail)
+        if not is_repeat_harmless(dispatcher.request_classes[incoming.request_class]):
+            incoming.identity = self.identities.of(event)
+            self.identities.check(incoming.identity)
         return incoming
 
-    def _reason_to_reject(self, function: str, size_bytes: int) -> str:
+    def _reason_to_reject(self, incoming: IncomingRequest, size_bytes: int) -> str:
         """Returns why a request cannot be accepted now, or an empty string.
 
         Nothing was started for such a request, so its client may retry, whatever its class.
@@ -141,8 +166,10 @@
             return f"{limits.open_requests} tasks are held"
         if dispatcher.pending_bytes + size_bytes > limits.pending_bytes:
             return f"{limits.pending_bytes} bytes are held"
-        if function not in functions and len(functions) >= limits.known_functions:
+        if incoming.function not in functions and len(functions) >= limits.known_functions:
             return f"{limits.known_functions} models are known"
+        if incoming.identity and self.identities.is_full():
+            return f"{self.identities.finished.limit} identities are remembered"
         return ""
 
     async def run(self) -> None:
--- a/martenlead/edge/records.py
+++ b/martenlead/edge/records.py
@@ -45,7 +45,7 @@
     """A request as a listener has read it.
 
     `time_left_ns` counts from its arrival. `id` is set by the client, `trace_id` names the request
-    in captures.
+    in captures. `identity` is set if a request must not run again under the same one.
     """
 
     request_class: str
@@ -58,6 +58,7 @@
     is_retry: bool
     id: str = ""
     trace_id: str = ""
+    identity: bytes = b""
 
 
 class PendingRequest:
--- a/martenlead/edge/responses.py
+++ b/martenlead/edge/responses.py
@@ -14,6 +14,7 @@
 from martenlead.policy.types import Request, Result
 
 OK, BAD_REQUEST, NOT_FOUND, METHOD_NOT_ALLOWED = 200, 400, 404, 405
+CONFLICT = 409
 CONTENT_TOO_LARGE, UNSUPPORTED_MEDIA_TYPE, TOO_MANY_REQUESTS = 413, 415, 429
 INTERNAL_ERROR, BAD_GATEWAY, SERVICE_UNAVAILABLE, GATEWAY_TIMEOUT = 500, 502, 503, 504
 
@@ -22,6 +23,7 @@
     BAD_REQUEST: "Bad task",
     NOT_FOUND: "No such path",
     METHOD_NOT_ALLOWED: "Only POST",
+    CONFLICT: "Has come before",
     CONTENT_TOO_LARGE: "Too large",
     UNSUPPORTED_MEDIA_TYPE: "Not an event",
 }
--- a/martenlead/node/request_handler.py
+++ b/martenlead/node/request_handler.py
@@ -18,17 +18,13 @@
     encode_ping_result,
     encode_result,
 )
-from martenlead.node.finished_ids import FinishedIds
+from martenlead.system.finished_ids import FinishedIds, retention_ns
 
 REQUESTS_PER_CONNECTION = 32  # open requests that the protocol allows
 ERRORS_PER_CONNECTION = 16  # a connection with more errors is closed
 NS_PER_MS = 1_000_000
 # Finished ids that are remembered, as a multiple of the limit of open requests
 IDS_PER_REQUEST = 64
-# Time for which an id may not be used again, in addition to the longest deadline
-ID_RETENTION_MARGIN_NS = 1_000 * NS_PER_MS
-# Longer deadlines count as this: their ids would take the room of all others
-ID_RETENTION_LIMIT_NS = 10_000 * NS_PER_MS
 # Time after the response for which a request still counts as open to its client
 RESPONSE_TRANSIT_NS = 5 * NS_PER_MS
 
@@ -45,9 +41,9 @@
         retry_after_ns = dispatcher.settings.policy_settings.retry_after_limit_ns
         self.retry_after_ms = retry_after_ns // NS_PER_MS
         self.open_requests: dict[str, PendingRequest] = {}  # keyed by id
-        longest_deadline_ns = max(dispatcher.deadlines_ns.values(), default=0)
-        retention_ns = min(longest_deadline_ns, ID_RETENTION_LIMIT_NS) + ID_RETENTION_MARGIN_NS
-        self.finished_ids = FinishedIds(request_limit * IDS_PER_REQUEST, retention_ns)
+        self.finished_ids = FinishedIds(
+            request_limit * IDS_PER_REQUEST, retention_ns(dispatcher.deadlines_ns.values())
+        )
         self.rejects_requests = False  # set when the node stops before a worker could respond
 
     # -- messages
--- a/martenlead/policy/repeats.py
+++ b/martenlead/policy/repeats.py
@@ -8,7 +8,14 @@
 from collections.abc import Collection
 
 from martenlead.policy.state import State, Worker
-from martenlead.policy.types import NEVER_RAN, Attempt, DeduplicationScope, Effect, Request
+from martenlead.policy.types import (
+    NEVER_RAN,
+    Attempt,
+    DeduplicationScope,
+    Effect,
+    Request,
+    RequestClass,
+)
 
 # A repeat has to begin, and not only be sent, within the idempotency window.
 WINDOW_MARGIN_TICKS = 4
@@ -60,13 +67,15 @@
 
         `unsent` are attempts without a result of which no byte was or will be sent.
         """
-        effect = request.request_class.effect
-        if effect is Effect.IDEMPOTENT or first_that_may_have_run(request, unsent) is None:
-            return True
-        return (
-            effect is Effect.WITH_IDEMPOTENCY_KEY
-            and request.request_class.deduplication_scope is DeduplicationScope.ALL
-        )
+        is_harmless = is_repeat_harmless(request.request_class)
+        return is_harmless or first_that_may_have_run(request, unsent) is None
+
+
+def is_repeat_harmless(request_class: RequestClass) -> bool:
+    """Whether a repeat by the client has no second effect, whatever has run before."""
+    if request_class.effect is Effect.WITH_IDEMPOTENCY_KEY:
+        return request_class.deduplication_scope is DeduplicationScope.ALL
+    return request_class.effect is Effect.IDEMPOTENT
 
 
 def first_that_may_have_run(request: Request, unsent: Collection[Attempt] = ()) -> Attempt | None:
--- a/martenlead/node/finished_ids.py
+++ b/martenlead/system/finished_ids.py
@@ -8,6 +8,22 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Iterable
+from typing import TypeAlias
+
+Id: TypeAlias = str | bytes
+
+NS_PER_MS = 1_000_000
+# Time for which an id may not be used again, in addition to the longest deadline
+RETENTION_MARGIN_NS = 1_000 * NS_PER_MS
+# Longer deadlines count as this: their ids would take the room of all others
+RETENTION_LIMIT_NS = 10_000 * NS_PER_MS
+
+
+def retention_ns(deadlines_ns: Iterable[int]) -> int:
+    """Returns how long ids are remembered where requests have at most these times, in ns."""
+    longest_ns = max(deadlines_ns, default=0)
+    return min(longest_ns, RETENTION_LIMIT_NS) + RETENTION_MARGIN_NS
 
 
 class FinishedIds:
@@ -15,9 +31,9 @@
 
     def __init__(self, limit: int, retention_ns: int) -> None:
         self.limit, self.retention_ns = limit, retention_ns
-        self._finished_ns: OrderedDict[str, int] = OrderedDict()  # the oldest first
+        self._finished_ns: OrderedDict[Id, int] = OrderedDict()  # the oldest first
 
-    def __contains__(self, request_id: str) -> bool:
+    def __contains__(self, request_id: Id) -> bool:
         """Whether an id is remembered."""
         return request_id in self._finished_ns
 
@@ -25,7 +41,7 @@
         """The number of ids that are remembered."""
         return len(self._finished_ns)
 
-    def add(self, request_id: str, now_ns: int) -> None:
+    def add(self, request_id: Id, now_ns: int) -> None:
         """Remembers an id from now on."""
         self._finished_ns[request_id] = now_ns
         self._finished_ns.move_to_end(request_id)
