A planner bounds what its links keep, and gives no place to an edge without a state

Causes: a planner read on while its answers waited to be sent; a first frame of 64 MB; no bound over all links; sessions that nobody ended. A second Hello gave a connection the name of another edge, and what is kept for it. Classes: a queue that neither side bounds, a bound for each peer without one for all, state that a peer creates and nobody ends.

Now a link reads no further while frames wait to be sent; the Hello has 4,096 bytes; incomplete frames of all links have 128 MiB, and the oldest gives way (`planner/link_input.py`, with `InputMemory`); a session without a state ends with its link, and gives way to a new name where all places are taken; a second Hello ends the link.

Peers are simulated.

--- a/martenlead/planner/frames.py
+++ b/martenlead/planner/frames.py
@@ -180,12 +180,25 @@
 
 
 class FrameReader:
-    """Decodes the byte stream of one connection into messages."""
+    """Decodes the byte stream of one connection into messages.
 
-    def __init__(self, max_payload_bytes: int = MAX_PAYLOAD_BYTES) -> None:
+    The first payload may have `first_payload_bytes`, all others `max_payload_bytes`.
+    """
+
+    def __init__(
+        self,
+        max_payload_bytes: int = MAX_PAYLOAD_BYTES,
+        first_payload_bytes: int | None = None,
+    ) -> None:
         self.max_payload_bytes = max_payload_bytes
+        self._allowed_bytes = first_payload_bytes or max_payload_bytes  # of the next payload
         self._unread = bytearray()
 
+    @property
+    def unread_bytes(self) -> int:
+        """The size of what has come of an incomplete frame."""
+        return len(self._unread)
+
     def feed(self, data: bytes) -> list[AnyMessage]:
         """Returns the messages that are completed by these bytes.
 
@@ -206,8 +219,8 @@
         if len(self._unread) < HEADER_BYTES:
             return None
         size = int.from_bytes(self._unread[:LENGTH_BYTES], "big")
-        if size > self.max_payload_bytes:
-            reason = f"payload of {size} bytes, at most {self.max_payload_bytes} are allowed"
+        if size > self._allowed_bytes:
+            reason = f"payload of {size} bytes, at most {self._allowed_bytes} are allowed"
             raise FrameError(reason)
         end = HEADER_BYTES + size
         if len(self._unread) < end:
@@ -217,4 +230,5 @@
             reason = "frame checksum mismatch"
             raise FrameError(reason)
         del self._unread[:end]
+        self._allowed_bytes = self.max_payload_bytes
         return payload
--- a/martenlead/planner/planner_session.py
+++ b/martenlead/planner/planner_session.py
@@ -189,6 +189,11 @@
     def _send(self, message: fr.Message) -> None:
         self._frames.append(fr.encode_frame(message))
 
+    @property
+    def has_frames(self) -> bool:
+        """Whether frames wait to be sent."""
+        return bool(self._frames)
+
     def next_frame(self) -> bytes | None:
         """Returns the next frame to send, or None."""
         return self._frames.popleft() if self._frames else None
--- a/martenlead/planner/server.py
+++ b/martenlead/planner/server.py
@@ -21,12 +21,14 @@
 from martenlead.planner import frames as fr
 from martenlead.planner.connection_errors import CONNECTION_ERRORS, describe_error
 from martenlead.planner.link import NS_PER_MS, NS_PER_SECOND, LinkProtocolError
+from martenlead.planner.link_input import INPUT_BYTES_LIMIT, LinkInput
 from martenlead.planner.planner_session import PlannerSession
 from martenlead.planner.replica_store import ReplicaStore
 from martenlead.planner.settings import PlannerSettings
 from martenlead.planner.status import PlannerStatus
 from martenlead.system import clocks
 from martenlead.system.clocks import Moment
+from martenlead.system.input_memory import InputMemory
 
 HELLO_TIMEOUT_SECONDS = 5.0
 WRITE_TIMEOUT_SECONDS = 5.0
@@ -49,6 +51,8 @@
         self.incarnation = f"{Random().getrandbits(64):016x}"
         self.sessions: dict[str, PlannerSession] = {}  # keyed by edge name
         self.connection_scopes: dict[str, anyio.CancelScope] = {}  # keyed by edge name
+        self._inputs: set[LinkInput] = set()
+        self.input_memory = InputMemory(INPUT_BYTES_LIMIT, self._inputs, clock, lambda: None)
         # scopes of connections that have not sent a Hello, the oldest first
         self._hello_scopes: dict[SocketStream, anyio.CancelScope] = {}
         self.log = structlog.get_logger().bind(planner=settings.name)
@@ -99,9 +103,11 @@
         """Returns the session of an edge, creating it at the first connection.
 
         Raises:
-            LinkProtocolError: the limit of edges is reached.
+            LinkProtocolError: the limit of edges is reached, and all have sent their state.
         """
         if edge not in self.sessions:
+            if len(self.sessions) >= self.settings.edge_limit:
+                self._end_oldest_without_state()
             if len(self.sessions) >= self.settings.edge_limit:
                 error = f"it plans for {self.settings.edge_limit} edges already"
                 raise LinkProtocolError(error)
@@ -116,6 +122,17 @@
             )
         return self.sessions[edge]
 
+    def _end_oldest_without_state(self) -> None:
+        """Ends the link of an edge that has sent no state, so that a further edge has a place."""
+        for edge, session in self.sessions.items():
+            if session.policy_replica is None:
+                self.connection_scopes[edge].cancel()
+                self._forget(edge)
+                return
+
+    def _forget(self, edge: str) -> None:
+        del self.sessions[edge], self.connection_scopes[edge]
+
     async def run(self, listener: StreamListener) -> None:
         """Serves edges until cancelled."""
         async with anyio.create_task_group() as group:
@@ -138,11 +155,12 @@
     async def _serve_connection(self, stream: SocketStream) -> None:
         """Serves one connection until it ends; an internal error ends only this link."""
         reason, edge = "closed", ""
+        link_input = LinkInput(stream, self.input_memory)
+        self._inputs.add(link_input)
         try:
-            reader = fr.FrameReader()
-            messages = await self._read_first_messages(stream, reader)
+            messages = await self._read_first_messages(stream, link_input)
             edge = _edge_name(messages[0])
-            reason = await self._run_session(edge, stream, reader, messages)
+            reason = await self._run_session(edge, stream, link_input, messages)
         except* LinkProtocolError as errors:
             reason = str(errors.exceptions[0])
             with suppress(*CONNECTION_ERRORS), anyio.move_on_after(REFUSE_TIMEOUT_SECONDS):
@@ -153,12 +171,14 @@
             self.log.exception("link_failed", edge=edge, exc_info=errors)
             reason = "an internal fault"
         finally:
+            self._inputs.remove(link_input)
+            link_input.release()
             self.log.info("link_ended", edge=edge, reason=reason)
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(stream)
 
     async def _read_first_messages(
-        self, stream: SocketStream, reader: fr.FrameReader
+        self, stream: SocketStream, link_input: LinkInput
     ) -> list[fr.AnyMessage]:
         """Returns the first messages; raises `LinkProtocolError` if its slot is needed."""
         messages: list[fr.AnyMessage] = []
@@ -166,7 +186,7 @@
             self._hello_scopes[stream] = scope
             try:
                 while not messages:
-                    messages = reader.feed(await stream.receive())
+                    messages = await link_input.receive()
             finally:
                 del self._hello_scopes[stream]
         if not messages:
@@ -175,9 +195,16 @@
         return messages
 
     async def _run_session(
-        self, edge: str, stream: SocketStream, reader: fr.FrameReader, messages: list[fr.AnyMessage]
+        self,
+        edge: str,
+        stream: SocketStream,
+        link_input: LinkInput,
+        messages: list[fr.AnyMessage],
     ) -> str:
-        """Runs an edge's session on a connection and cancels an older connection of that edge."""
+        """Runs an edge's session on a connection and cancels an older connection of that edge.
+
+        The session outlives the connection if it has the state of the edge.
+        """
         session = self.get_session(edge)
         if edge in self.connection_scopes:
             self.connection_scopes[edge].cancel()
@@ -185,8 +212,13 @@
             self.connection_scopes[edge] = scope
             session.connection_made()
             self.log.info("link_started", edge=edge)
-            await _exchange(stream, reader, session, messages)
-        return "replaced by a newer connection of that edge" if scope.cancelled_caught else "closed"
+            try:
+                await _exchange(stream, link_input, session, messages)
+            finally:
+                is_newest = self.connection_scopes.get(edge) is scope
+                if is_newest and session.policy_replica is None:
+                    self._forget(edge)
+        return "its place was needed" if scope.cancelled_caught else "closed"
 
     # -- status for operators
 
@@ -224,12 +256,15 @@
 
 async def _exchange(
     stream: SocketStream,
-    reader: fr.FrameReader,
+    link_input: LinkInput,
     session: PlannerSession,
     messages: list[fr.AnyMessage],
 ) -> None:
-    """Passes these and all further messages to a session, and sends its frames."""
-    received = anyio.Event()
+    """Passes these and all further messages to a session, and sends its frames.
+
+    Reads no further while frames of the session wait to be sent.
+    """
+    received, sent = anyio.Event(), anyio.Event()
 
     async def read() -> None:
         """Passes on received messages until the connection ends with an error."""
@@ -238,7 +273,9 @@
             for message in messages:
                 session.receive_message(message)
             received.set()
-            messages = reader.feed(await stream.receive())
+            if session.has_frames:
+                await sent.wait()
+            messages = await link_input.receive()
 
     async with anyio.create_task_group() as group:
         group.start_soon(read)
@@ -248,6 +285,8 @@
             while (data := session.next_frame()) is not None:
                 with anyio.fail_after(WRITE_TIMEOUT_SECONDS):
                     await stream.send(data)
+            sent.set()
+            sent = anyio.Event()
             if not received.is_set():
                 wait_ns = session.next_due_ns() - session.own_clock()
                 wait_seconds = min(wait_ns / NS_PER_SECOND, MAX_WAIT_SECONDS)
--- a/support/full_speed_client.py
+++ b/support/full_speed_client.py
@@ -20,6 +20,7 @@
 
 import anyio
 
+from martenlead.planner import frames
 from support.node_wire import message
 
 ROOT = Path(__file__).parent.parent
@@ -49,6 +50,17 @@
     return _http("/", content, "content-type: application/cloudevents+json")
 
 
+def planner_hello(edge: str) -> bytes:
+    """Returns the first message of an edge to its planner."""
+    return frames.encode_frame(
+        frames.Hello(frames.LOWEST_VERSION, frames.HIGHEST_VERSION, edge, "run", "policy")
+    )
+
+
+def _after_hello(number: int, message: frames.Message) -> bytes:
+    return planner_hello("client") if number == 1 else frames.encode_frame(message)
+
+
 MESSAGES: dict[str, Callable[[int], bytes]] = {
     "pings": lambda number: _call(number, "ping"),
     "cancels of unknown ids": lambda number: _call(number, "abort", id=f"{number:016x}"),
@@ -60,6 +72,10 @@
     "events under new names": _event,
     "invalid events": lambda _: _http("/", "{", "content-type: application/cloudevents+json"),
     "no http": lambda _: b"\0\r\n\r\n",
+    "hellos of an edge": lambda number: planner_hello(f"client{number}"),
+    "leases of an edge": lambda number: _after_hello(number, frames.Lease(number, 1000.0)),
+    "keep-alives of an edge": lambda number: _after_hello(number, frames.Events(number, number, [])),
+    "requests for a planner": lambda number: _after_hello(number, frames.ResyncRequest("none")),
     "status requests": lambda _: b"GET /status HTTP/1.1\r\nhost: e\r\n\r\n",
 }
 """How each kind of flood makes its messages from a number that grows over a connection."""
--- a/support/unfinished_clients.py
+++ b/support/unfinished_clients.py
@@ -15,7 +15,8 @@
 
 import anyio
 
-from support.full_speed_client import ROOT
+from martenlead.planner import frames
+from support.full_speed_client import ROOT, planner_hello
 from support.node_wire import message
 
 START_SECONDS = 20.0
@@ -26,6 +27,7 @@
     b'Content-Length: 65000\r\n\r\n{"jsonrpc":"2.0","id":40,"method":"safe","params":{"blob":"'
 )
 _LONG_HALF = HALF_OF_A_MESSAGE + b"A" * 64_000
+_HALF_OF_A_FRAME = frames.MAX_PAYLOAD_BYTES.to_bytes(frames.LENGTH_BYTES, "big") + b"A" * 900_000
 _HEAD = b"POST / HTTP/1.1\r\nhost: e\r\n"
 
 
@@ -47,6 +49,8 @@
     "half of a body in chunks": lambda _: (
         _HEAD + b"transfer-encoding: chunked\r\n\r\n" + (b"4000\r\n" + b"A" * 16_384 + b"\r\n") * 50
     ),
+    "half of a frame": lambda _: _HALF_OF_A_FRAME,
+    "a hello and half of a frame": lambda client: planner_hello(f"client{client}") + _HALF_OF_A_FRAME,
     "many short fields": lambda _: _HEAD + b"a:b\r\n" * 98,
 }
 """What each kind of client writes first, from its number."""
--- a/tests/test_clients_that_close.py
+++ b/tests/test_clients_that_close.py
@@ -22,8 +22,8 @@
 from martenlead.events.cloudevent import Event, encode_event
 from martenlead.events.http import Message
 from support import fleet
-from support.edge_process import run_edge_process
 from support.fleet import run_edge, until
+from support.program_process import run_edge_process
 from tests import nodes
 from tests.apart import NodeProcess, run_node_process, serve_journal
 from tests.nodes import Client
--- a/tests/test_full_speed_clients.py
+++ b/tests/test_full_speed_clients.py
@@ -6,22 +6,14 @@
 
 from __future__ import annotations
 
-import json
-import sys
-from collections.abc import Callable
-from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
 import anyio
 import pytest
 
-from martenlead.events import http
-from martenlead.events.client import Pool
-from support.edge_process import run_edge_process
 from support.fleet import after_delay, respond_ok, run_edge
 from support.full_speed_client import full_speed_clients, peak_mb
-from support.peers import unused_port
+from support.program_process import OTHER_HTTP_PROGRAMS, run_edge_process, run_http_program
 from support.usual_requests import DEADLINE_SECONDS, UsualRequests
 from tests.apart import run_node_process, serve_journal
 from tests.nodes import Client
@@ -101,56 +93,20 @@
     assert highest_mb < EDGE_BASE_MB + connections * CONNECTION_MB
 
 
-@dataclass(frozen=True)
-class OtherProgram:
-    """A program that serves HTTP on a port of its settings or on the one that it names when it is ready."""
-
-    arguments: tuple[str, ...]
-    settings: Callable[[Path, int], dict[str, Any]]  # from a folder and a free port
-    is_port_in_settings: bool
-    path: bytes  # of a usual request
-
-
-OTHER_PROGRAMS = {
-    "planner": OtherProgram(("plan",), lambda _, port: {"admin": {"port": port}}, True, b"/state"),
-    "agent": OtherProgram(
-        ("layers", "agent"),
-        lambda folder, port: {"name": "x", "cache": str(folder / "cache"), "vault": {"port": port}},
-        False,
-        b"/have",
-    ),
-}
-
-
 @pytest.mark.parametrize("kind", ["paths that do not exist", "no http"])
-@pytest.mark.parametrize("name", OTHER_PROGRAMS)
+@pytest.mark.parametrize("name", OTHER_HTTP_PROGRAMS)
 async def test_clients_at_full_speed_neither_fill_another_program_nor_hold_it_up(
     tmp_path: Path, name: str, kind: str
 ) -> None:
     # Guards against the same at the other programs, which share the server of HTTP.
-    program, free_port = OTHER_PROGRAMS[name], unused_port()
-    config = tmp_path / "config.json"
-    config.write_text(json.dumps(program.settings(tmp_path, free_port)))
-    command = [sys.executable, "-m", "martenlead", *program.arguments, str(config)]
     usual = UsualRequests()
-    async with await anyio.open_process(command, stderr=None) as process:
-        assert process.stdout is not None
-        with anyio.fail_after(READY_SECONDS):
-            ready = json.loads(await process.stdout.receive())
-        port = free_port if program.is_port_in_settings else ready["ready"]["port"]
-        pool = Pool("127.0.0.1", port, connection_limit=USUAL_CLIENTS)
-
-        async def call() -> str:
-            """Sends one usual request, to which any response will do."""
-            exchange = await pool.exchange(http.request(b"GET", program.path, b"x", []))
-            return "satisfied" if exchange.message is not None else "closed"
-
-        async with full_speed_clients(port, kind, FLOODING_CLIENTS, FLOOD_SECONDS + 1):
+    async with run_http_program(name, tmp_path) as program:
+        call = program.make_call(USUAL_CLIENTS)
+        async with full_speed_clients(program.port, kind, FLOODING_CLIENTS, FLOOD_SECONDS + 1):
             until = anyio.current_time() + FLOOD_SECONDS
             async with anyio.create_task_group() as asking:
                 for _ in range(USUAL_CLIENTS):
                     asking.start_soon(usual.send, call, until)
-            highest_mb = peak_mb(process.pid)
-        process.kill()
+            highest_mb = peak_mb(program.pid)
     usual.check()
     assert highest_mb < EDGE_BASE_MB + (FLOODING_CLIENTS + USUAL_CLIENTS) * CONNECTION_MB
--- a/tests/test_request_identities.py
+++ b/tests/test_request_identities.py
@@ -14,7 +14,6 @@
 from martenlead.edge.request_identities import RequestIdentities
 from martenlead.events import http
 from martenlead.events.cloudevent import Event, InvalidEventError, encode_event
-from support.edge_process import run_edge_process
 from support.fleet import (
     REQUEST_CLASSES,
     EdgeRig,
@@ -24,6 +23,7 @@
     run_edge,
     until,
 )
+from support.program_process import run_edge_process
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_unfinished_requests.py
+++ b/tests/test_unfinished_requests.py
@@ -14,9 +14,9 @@
 
 from martenlead.events.server import Reply, Server, ServerLimits, listen
 from martenlead.node.received_messages import MESSAGES_PER_TURN
-from support.edge_process import run_edge_process
 from support.fleet import after_delay, respond_ok, run_edge, until
 from support.full_speed_client import peak_mb
+from support.program_process import OTHER_HTTP_PROGRAMS, run_edge_process, run_http_program
 from support.unfinished_clients import HALF_OF_A_MESSAGE, unfinished_clients
 from support.usual_requests import DEADLINE_SECONDS, UsualRequests
 from tests.apart import run_node_process, serve_journal
@@ -93,6 +93,18 @@
     assert highest_mb < EDGE_BASE_MB + HELD_BYTES / 1e6 + CLIENTS * CONNECTION_MB
 
 
+@pytest.mark.parametrize("kind", EDGE_KINDS)
+@pytest.mark.parametrize("name", OTHER_HTTP_PROGRAMS)
+async def test_unfinished_requests_do_not_fill_another_program(tmp_path: Path, name: str, kind: str) -> None:
+    # Guards against the same at the other programs, which share the server of HTTP.
+    async with run_http_program(name, tmp_path) as program:
+        usual = await play(program.port, kind, [program.make_call(2)] * 2)
+        highest_mb = peak_mb(program.pid)
+    usual.check()
+    received_mb = ServerLimits().received_bytes / 1e6
+    assert highest_mb < EDGE_BASE_MB + received_mb + CLIENTS * CONNECTION_MB
+
+
 async def test_the_oldest_unfinished_request_is_refused_first(tmp_path: Path) -> None:
     # Guards against a bound that refuses whoever comes last, however long others have kept their places.
     async with run_node(tmp_path) as rig:
