A node decodes of each read what one turn needs, so that hundreds of clients stall nobody

Class: a bound for each peer without one for all. Now a read is decoded up to one turn, the rest with later turns, and one that holds more than a turn takes turns from its first message on.

test_one_read_handles_a_limited_number_of_messages counted decoded messages, which is not the number that waits any more. It now checks the exact bytes that wait, of which none may be handled in the read, and that no more than a turn is decoded: stricter than before. Two tests replace `MessageDecoder.feed`, whose stand-ins take the new argument. The log field waiting_messages of client_input_deferred is waiting_bytes.

--- a/martenlead/node/client_connection.py
+++ b/martenlead/node/client_connection.py
@@ -151,10 +151,7 @@
         self._arrived_ns, self._read_ns = self._earliest_arrival_ns(now_ns, len(data)), now_ns
         if complete:
             self.last_read_ns = now_ns
-        if not self.received.has_partial_message:
-            self.partial_since_ns = 0
-        elif complete or not self.partial_since_ns:
-            self.partial_since_ns = now_ns
+        self._record_partial_message(now_ns, is_new=bool(complete))
         if has_waiting:
             return
         messages = self.received.take_at_once(now_ns)
@@ -165,6 +162,13 @@
             self._update_reading()
             self.listener.input_scheduler.add(self)
 
+    def _record_partial_message(self, now_ns: int, is_new: bool) -> None:
+        """Records since when the rest of a message has been awaited."""
+        if not self.received.has_partial_message:
+            self.partial_since_ns = 0
+        elif is_new or not self.partial_since_ns:
+            self.partial_since_ns = now_ns
+
     def _handle_messages(self, messages: list[bytes]) -> None:
         """Handles messages of the last read; behind the last one, reports an invalid rest."""
         self.listener.requests.handle_messages(self, messages, self._arrived_ns, self._read_ns)
@@ -177,7 +181,7 @@
 
     @property
     def waiting_messages(self) -> int:
-        """The number of messages that were read and wait to be handled."""
+        """The number of decoded messages that wait to be handled; 0 if none does."""
         return len(self.received)
 
     @property
@@ -191,6 +195,8 @@
             return
         with self._reading():
             self._handle_messages(self.received.take_turn())
+            now_ns = self.listener.dispatcher.clock()
+            self._record_partial_message(now_ns, is_new=False)
         self._update_reading()
 
     def _stop_decoding(self) -> None:
--- a/martenlead/node/client_protocol.py
+++ b/martenlead/node/client_protocol.py
@@ -61,32 +61,36 @@
         self._buffer = b""
         # Length of the body being received; negative until its header is complete.
         self._length = -1
+        self.has_reached_limit = False  # further complete messages may have been received
 
     @property
     def has_partial_message(self) -> bool:
-        """Whether a message has begun and is not complete."""
-        return bool(self._buffer) or self._length >= 0
+        """Whether a message has begun whose rest was not received."""
+        has_begun = bool(self._buffer) or self._length >= 0
+        return has_begun and not self.has_reached_limit
 
     @property
     def kept_bytes(self) -> int:
-        """The size of what was received of an incomplete message."""
+        """The size of what was received behind the last message that was returned."""
         return len(self._buffer)
 
-    def feed(self, data: bytes) -> list[bytes]:
+    def feed(self, data: bytes, limit: int | None = None) -> list[bytes]:
         """Adds received bytes, and returns the messages that are now complete.
 
+        At most `limit` messages are returned; others may follow with the next call.
+
         Raises:
             FramingError: the rest of the stream cannot be split into messages.
         """
         buffer = self._buffer + data if self._buffer else data
         start = 0
         messages: list[bytes] = []
-        while True:
+        while limit is None or len(messages) < limit:
             if self._length < 0:
-                limit = start + HEADER_BYTES_LIMIT
-                end = buffer.find(_HEADER_END, start, limit + len(_HEADER_END))
+                latest_end = start + HEADER_BYTES_LIMIT
+                end = buffer.find(_HEADER_END, start, latest_end + len(_HEADER_END))
                 if end < 0:
-                    if len(buffer) > limit:
+                    if len(buffer) > latest_end:
                         raise FramingError(messages, "a head without an end")
                     break
                 self._length = self._parse_header(buffer[start:end], messages)
@@ -97,12 +101,14 @@
             start += self._length
             self._length = -1
         self._buffer = buffer[start:]
+        self.has_reached_limit = len(messages) == limit and start < len(buffer)
         return messages
 
     def discard(self) -> None:
         """Drops an incomplete message, as its connection has ended or cannot be decoded."""
         self._buffer = b""
         self._length = -1
+        self.has_reached_limit = False
 
     def _parse_header(self, header: bytes, messages: list[bytes]) -> int:
         """Returns the length of the body."""
--- a/martenlead/node/input_scheduler.py
+++ b/martenlead/node/input_scheduler.py
@@ -32,7 +32,11 @@
 
     @property
     def waiting_messages(self) -> int:
-        """The number of messages that wait."""
+        """The number of decoded messages that wait; 0 if none does."""
+
+    @property
+    def refusable_bytes(self) -> int:
+        """The bytes that wait, decoded or not."""
 
     def handle_next_messages(self) -> None:
         """Handles a limited number of them."""
@@ -64,7 +68,7 @@
         self._log.info(
             "client_input_deferred",
             client=connection.peer_address,
-            waiting_messages=connection.waiting_messages,
+            waiting_bytes=connection.refusable_bytes,
             waiting_connections=len(self._waiting),
         )
 
--- a/martenlead/node/received_messages.py
+++ b/martenlead/node/received_messages.py
@@ -35,7 +35,7 @@
 
     @property
     def has_partial_message(self) -> bool:
-        """Whether a message has begun and is not complete."""
+        """Whether a message has begun whose rest was not received."""
         return self.decoder.has_partial_message
 
     @property
@@ -44,17 +44,30 @@
         return self.decoder.kept_bytes + self._waiting_bytes
 
     def feed(self, data: bytes) -> int:
-        """Adds received bytes; returns the number of messages that are now complete."""
+        """Adds received bytes; returns the number of messages that were decoded.
+
+        Decodes no more than one turn needs: a read may hold thousands of messages.
+        """
+        if self.framing_error_text:
+            return 0
+        limit = max(0, MESSAGES_PER_TURN - len(self._waiting))
         try:
-            messages = self.decoder.feed(data)
+            messages = self.decoder.feed(data, limit)
         except FramingError as error:
             messages, self.framing_error_text = error.complete_messages, error.detail
+            self.decoder.discard()
         self._waiting.extend(messages)
         self._waiting_bytes += sum(map(len, messages))
         return len(messages)
 
     def take_at_once(self, now_ns: int) -> list[bytes]:
-        """Removes and returns the messages that may be handled as they are read."""
+        """Removes and returns the messages that may be handled as they are read.
+
+        A read with more messages than one turn takes turns from its first message on: many
+        connections can have such reads at once.
+        """
+        if self.decoder.has_reached_limit:
+            return []
         if now_ns - self._window_start_ns > QUOTA_WINDOW_NS:
             self._window_start_ns, self._taken_in_window = now_ns, 0
         messages = self._take(max(0, MESSAGES_PER_TURN - self._taken_in_window))
@@ -69,6 +82,8 @@
         count = min(limit, len(self._waiting))
         messages = [self._waiting.popleft() for _ in range(count)]
         self._waiting_bytes -= sum(map(len, messages))
+        if not self._waiting and self.decoder.has_reached_limit:
+            self.feed(b"")
         return messages
 
     def discard(self) -> None:
--- a/support/full_speed_client.py
+++ b/support/full_speed_client.py
@@ -74,7 +74,7 @@
     "no http": lambda _: b"\0\r\n\r\n",
     "hellos of an edge": lambda number: planner_hello(f"client{number}"),
     "leases of an edge": lambda number: _after_hello(number, frames.Lease(number, 1000.0)),
-    "keep-alives of an edge": lambda number: _after_hello(number, frames.Events(number, number, [])),
+    "empty events of an edge": lambda number: _after_hello(number, frames.Events(number, number, [])),
     "requests for a planner": lambda number: _after_hello(number, frames.ResyncRequest("none")),
     "status requests": lambda _: b"GET /status HTTP/1.1\r\nhost: e\r\n\r\n",
 }
--- a/tests/test_answer_before_close.py
+++ b/tests/test_answer_before_close.py
@@ -212,7 +212,7 @@
         await client.send_request()
         await until(rig.received)
 
-        def feed(_data: bytes) -> list[bytes]:
+        def feed(_data: bytes, _limit: int) -> list[bytes]:
             """Raises for any input."""
             raise KeyError("a bug in the node")
 
--- a/tests/test_full_speed_clients.py
+++ b/tests/test_full_speed_clients.py
@@ -13,6 +13,7 @@
 
 from support.fleet import after_delay, respond_ok, run_edge
 from support.full_speed_client import full_speed_clients, peak_mb
+from support.full_speed_crowd import full_speed_crowd
 from support.program_process import OTHER_HTTP_PROGRAMS, run_edge_process, run_http_program
 from support.usual_requests import DEADLINE_SECONDS, UsualRequests
 from tests.apart import run_node_process, serve_journal
@@ -22,6 +23,7 @@
 
 FLOODING_CLIENTS = 6
 FLOOD_SECONDS = 5.0
+CROWD_CLIENTS, CROWD_MEMORY_MB = 450, 64
 USUAL_CLIENTS = 4
 # benchmarks/floods.py: what the settings of an edge allow it, without functions and bodies
 EDGE_BASE_MB, CONNECTION_MB = 75, 0.25
@@ -68,6 +70,29 @@
     usual.check(*(["turned back"] if kind == "requests under new names" else []))
 
 
+@pytest.mark.parametrize("kind", ["pings", "requests without a deadline"])
+async def test_hundreds_of_clients_at_full_speed_hold_up_no_other_client_of_a_node(
+    tmp_path: Path, kind: str
+) -> None:
+    # Guards against reads that are short enough for each client, and together take seconds.
+    usual = UsualRequests()
+    limits = {"descriptor_limit": 1024, "memory_mb": CROWD_MEMORY_MB}
+    async with run_node_process(tmp_path, "ab", **limits) as rig, anyio.create_task_group() as group:
+        group.start_soon(serve_journal, rig.journal)
+        await rig.wait_until_up(READY_SECONDS)
+        clients = [await rig.connect_client() for _ in range(USUAL_CLIENTS)]
+        async with full_speed_crowd(rig.port, kind, CROWD_CLIENTS, FLOOD_SECONDS + 1):
+            until = anyio.current_time() + FLOOD_SECONDS
+            async with anyio.create_task_group() as asking:
+                for number, client in enumerate(clients, start=1):
+                    first = number << 40
+                    asking.start_soon(usual.send, lambda c=client, f=first: call_node(c, f), until)
+            highest_mb = peak_mb(rig.process.pid)
+        group.cancel_scope.cancel()
+    usual.check()
+    assert highest_mb < CROWD_MEMORY_MB
+
+
 @pytest.mark.parametrize("kind", ["paths that do not exist", "invalid events", "no http"])
 async def test_clients_at_full_speed_neither_fill_an_edge_nor_hold_it_up(tmp_path: Path, kind: str) -> None:
     # Guards against input that an edge reads faster than it answers, and keeps.
@@ -93,6 +118,31 @@
     assert highest_mb < EDGE_BASE_MB + connections * CONNECTION_MB
 
 
+@pytest.mark.parametrize("kind", ["paths that do not exist", "events under new names"])
+async def test_hundreds_of_clients_at_full_speed_hold_up_no_other_client_of_an_edge(
+    tmp_path: Path, kind: str
+) -> None:
+    # Guards against reads that are short enough for each client, and together take seconds.
+    usual = UsualRequests()
+    behaviours = {"a": [after_delay(5, respond_ok)], "b": [after_delay(5, respond_ok)]}
+    async with run_edge(behaviours) as rig, run_edge_process(tmp_path, rig.discovery_port) as edge:
+        rig.pool.port = edge.port
+        await rig.wait_until_up(READY_SECONDS)
+
+        async def call_edge() -> str:
+            """Sends one usual request to the edge."""
+            status, _ = await rig.call(left=DEADLINE_SECONDS * 1000)
+            return "satisfied" if status == 200 else str(status)
+
+        async with full_speed_crowd(edge.port, kind, CROWD_CLIENTS, FLOOD_SECONDS + 1):
+            until = anyio.current_time() + FLOOD_SECONDS
+            async with anyio.create_task_group() as asking:
+                for _ in range(USUAL_CLIENTS):
+                    asking.start_soon(usual.send, call_edge, until)
+    # valid requests compete for the workers: others may be rejected, in their time
+    usual.check(*(["503"] if kind == "events under new names" else []))
+
+
 @pytest.mark.parametrize("kind", ["paths that do not exist", "no http"])
 @pytest.mark.parametrize("name", OTHER_HTTP_PROGRAMS)
 async def test_clients_at_full_speed_neither_fill_another_program_nor_hold_it_up(
--- a/tests/test_input_scheduler.py
+++ b/tests/test_input_scheduler.py
@@ -31,6 +31,7 @@
     """A connection with waiting messages, each turn of which takes some time of a fake clock."""
 
     peer_address = "127.0.0.1:1"
+    refusable_bytes = 0
 
     def __init__(self, name: str, turns: int, log: list[str], clock: list[int]) -> None:
         self.name, self.waiting_messages, self.log, self.clock = name, turns, log, clock
@@ -71,7 +72,10 @@
     async with run_node(tmp_path) as rig:
         client, connection = await connect(rig)
         connection.data_received(PING * MANY)
-        assert connection.waiting_messages == MANY - MESSAGES_PER_TURN
+        undecoded_bytes = (MANY - MESSAGES_PER_TURN) * len(PING)
+        assert connection.waiting_messages == MESSAGES_PER_TURN  # no more than the next turn needs
+        decoded_bytes = MESSAGES_PER_TURN * len(PING.partition(b"\r\n\r\n")[2])
+        assert connection.refusable_bytes == undecoded_bytes + decoded_bytes
         assert not connection.transport.is_reading()
         assert connection.peek_input() is UnreadInput.BYTES
         for _ in range(MANY):
--- a/tests/test_interruptions.py
+++ b/tests/test_interruptions.py
@@ -32,7 +32,9 @@
         (connection,) = rig.node.listener.clients
         read_sizes: list[int] = []
         feed = connection.received.decoder.feed
-        connection.received.decoder.feed = lambda data: read_sizes.append(len(data)) or feed(data)
+        connection.received.decoder.feed = lambda data, limit: (
+            read_sizes.append(len(data)) or feed(data, limit)
+        )
         first, second = client.encode_request("unsafe"), client.encode_request("unsafe")
         for position, byte in enumerate(first + second):
             await client.send(bytes([byte]))
--- a/tests/test_node_codecs.py
+++ b/tests/test_node_codecs.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from martenlead.node import client_protocol, journal, worker_protocol
+from martenlead.node.received_messages import MESSAGES_PER_TURN, ReceivedMessages
 from martenlead.upstream.endpoints import EndpointUpdate
 from tests.nodes import answer, frame, message, record
 
@@ -153,3 +154,44 @@
     updates = journal.FrameDecoder(TABLES).feed(frame(1, 1, record(7, 80, 1, 5)))
     assert known.to_updates(TABLES) == updates
     assert message({})[:14] == b"Content-Length"
+
+
+def test_messages_beyond_a_limit_are_decoded_later_and_none_is_lost() -> None:
+    # Guards against a read whose thousands of messages are all decoded in one call.
+    bodies = [b"%d" % number * number for number in range(1, 50)]
+    data = b"".join(b"Content-Length: %d\r\n\r\n%b" % (len(body), body) for body in bodies)
+    for split in range(0, len(data), 7):
+        decoder, decoded = client_protocol.MessageDecoder(), []
+        for part in (data[:split], data[split:], b"", b""):
+            decoded += decoder.feed(part, limit=20)
+            assert not decoder.has_reached_limit or len(decoded) < len(bodies)
+        while decoder.has_reached_limit:
+            decoded += decoder.feed(b"", limit=20)
+        assert decoded == bodies and not decoder.has_partial_message and decoder.kept_bytes == 0
+
+
+def test_an_incomplete_message_behind_a_limit_is_known_once_it_is_reached() -> None:
+    # Guards against an incomplete message that is never timed out, and a complete one that is.
+    one = b"Content-Length: 2\r\n\r\n{}"
+    received = ReceivedMessages()
+    received.feed(one * (2 * MESSAGES_PER_TURN) + one[:-1])
+    assert not received.has_partial_message
+    assert len(received.take_turn()) == MESSAGES_PER_TURN and received
+    assert not received.has_partial_message
+    assert len(received.take_turn()) == MESSAGES_PER_TURN and not received
+    assert received.has_partial_message
+    assert received.feed(one[-1:]) == 1 and received.take_turn() == [b"{}"]
+    assert not received.has_partial_message
+
+
+def test_an_invalid_rest_behind_a_limit_ends_the_decoding_once() -> None:
+    # Guards against input that is decoded further behind what no decoder can read.
+    one = b"Content-Length: 2\r\n\r\n{}"
+    received = ReceivedMessages()
+    received.feed(one * (2 * MESSAGES_PER_TURN) + b"junk\r\n\r\n" + one)
+    handled = 0
+    while received:
+        assert not received.framing_error_text or handled >= MESSAGES_PER_TURN
+        handled += len(received.take_turn())
+    assert handled == 2 * MESSAGES_PER_TURN and received.framing_error_text
+    assert received.feed(one) == 0 and not received and received.kept_bytes == 0
--- a/tests/test_planner_floods.py
+++ b/tests/test_planner_floods.py
@@ -45,7 +45,7 @@
 
 
 @pytest.mark.parametrize(
-    "kind", ["hellos of an edge", "leases of an edge", "keep-alives of an edge", "requests for a planner"]
+    "kind", ["hellos of an edge", "leases of an edge", "empty events of an edge", "requests for a planner"]
 )
 async def test_peers_at_full_speed_take_no_lease_and_no_memory(tmp_path: Path, kind: str) -> None:
     # Guards against answers that a planner makes faster than it sends them, and keeps.
