Clean-up: the rigs of a node are in support, beside those of the other programs

tests/nodes.py and tests/apart.py hold no test and were imported by 37 files; they are support/node_rig.py and support/node_process.py now, so that mypy and vulture cover them with the package. Imports alone have changed.

--- a/tests/apart.py
+++ b/support/node_process.py
@@ -1,6 +1,7 @@
 """A real dispatcher in a process of its own, under a limit of descriptors that is set in that process alone.
 
-Its peers are in this process, as in tests/nodes.py; its journal service is down until `serve_journal` runs.
+Its peers are in this process, as in support/node_rig.py; its journal service is down until `serve_journal`
+runs.
 """
 
 from __future__ import annotations
@@ -17,8 +18,8 @@
 import anyio
 from anyio.abc import Process
 
+from support.node_rig import CONNECTION_ERRORS, NodeRig, ScriptedJournal, message, succeed
 from support.peers import PeerListener, unused_port
-from tests.nodes import CONNECTION_ERRORS, NodeRig, ScriptedJournal, message, succeed
 
 DESCRIPTOR_LIMIT = 96
 ROOT = Path(__file__).parent.parent
--- a/tests/test_address_taken_over.py
+++ b/tests/test_address_taken_over.py
@@ -17,10 +17,10 @@
 
 from martenlead.edge.http_membership import HttpMembership
 from martenlead.policy.types import WorkerState
+from support import node_rig as nodes
 from support.fleet import run_edge, until
-from tests import nodes
-from tests.apart import run_node_process, serve_journal
-from tests.nodes import NodeRig, PipeliningClient, run_node
+from support.node_process import run_node_process, serve_journal
+from support.node_rig import NodeRig, PipeliningClient, run_node
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_answer_before_close.py
+++ b/tests/test_answer_before_close.py
@@ -19,7 +19,7 @@
 from martenlead.node.client_connection import ClientConnection
 from martenlead.node.request_handler import ERRORS_PER_CONNECTION, RequestHandler
 from support.fleet import until
-from tests.nodes import Client, NodeRig, after_delay, message, outcome_of, run_node, silent, succeed
+from support.node_rig import Client, NodeRig, after_delay, message, outcome_of, run_node, silent, succeed
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -22,8 +22,8 @@
 from martenlead.policy.types import Result
 from support.attempt_hooks import before_attempt
 from support.fleet import until
-from tests.apart import run_node_process
-from tests.nodes import (
+from support.node_process import run_node_process
+from support.node_rig import (
     Behaviour,
     Client,
     NodeRig,
--- a/tests/test_clients_that_close.py
+++ b/tests/test_clients_that_close.py
@@ -22,11 +22,11 @@
 from martenlead.events.cloudevent import Event, encode_event
 from martenlead.events.http import Message
 from support import fleet
+from support import node_rig as nodes
 from support.fleet import run_edge, until
+from support.node_process import NodeProcess, run_node_process, serve_journal
+from support.node_rig import Client
 from support.program_process import run_edge_process
-from tests import nodes
-from tests.apart import NodeProcess, run_node_process, serve_journal
-from tests.nodes import Client
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -24,8 +24,7 @@
 from martenlead.node.client_connection import ClientConnection
 from martenlead.policy.types import Result
 from support.fleet import until
-from support.virtual_time import VIRTUAL_TIME, follow_loop_time
-from tests.nodes import (
+from support.node_rig import (
     SETTINGS,
     Behaviour,
     Client,
@@ -42,6 +41,7 @@
     succeed,
     with_deadlines,
 )
+from support.virtual_time import VIRTUAL_TIME, follow_loop_time
 
 pytestmark = pytest.mark.anyio
 LOAD_REQUEST_SETTINGS = SETTINGS | {"family-info": SETTINGS["family-info"] | {"placement-calls": True}}
--- a/tests/test_deadline_passed_on.py
+++ b/tests/test_deadline_passed_on.py
@@ -20,7 +20,7 @@
 from martenlead.events.client import Pool
 from martenlead.node.client_acceptor import EXTRA_DESCRIPTORS
 from support.fleet import EdgeRig, after_delay, reject_at_capacity, respond_ok, run_edge
-from tests.nodes import SETTINGS, Client, outcome_of, run_node, succeed
+from support.node_rig import SETTINGS, Client, outcome_of, run_node, succeed
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -14,8 +14,8 @@
 from martenlead.node import listener
 from martenlead.policy.types import Result
 from support.fleet import until
-from tests.apart import DESCRIPTOR_LIMIT, run_node_process, serve_journal
-from tests.nodes import outcome_of, run_node, succeed
+from support.node_process import DESCRIPTOR_LIMIT, run_node_process, serve_journal
+from support.node_rig import outcome_of, run_node, succeed
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_edge_released_memory.py
+++ b/tests/test_edge_released_memory.py
@@ -27,7 +27,7 @@
     silent,
     until,
 )
-from tests.nodes import reset_on_close
+from support.node_rig import reset_on_close
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_forwarded_request.py
+++ b/tests/test_forwarded_request.py
@@ -9,7 +9,7 @@
 import pytest
 
 from support.fleet import until
-from tests.nodes import SETTINGS, outcome_of, run_node, succeed
+from support.node_rig import SETTINGS, outcome_of, run_node, succeed
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_full_speed_clients.py
+++ b/tests/test_full_speed_clients.py
@@ -14,10 +14,10 @@
 from support.fleet import after_delay, respond_ok, run_edge
 from support.full_speed_client import full_speed_clients, peak_mb
 from support.full_speed_crowd import full_speed_crowd
+from support.node_process import run_node_process, serve_journal
+from support.node_rig import Client
 from support.program_process import OTHER_HTTP_PROGRAMS, run_edge_process, run_http_program
 from support.usual_requests import DEADLINE_SECONDS, UsualRequests
-from tests.apart import run_node_process, serve_journal
-from tests.nodes import Client
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_full_speed_workers.py
+++ b/tests/test_full_speed_workers.py
@@ -13,9 +13,9 @@
 
 from martenlead.node.upstream_connection import STRAY_RESPONSES_LIMIT
 from support.full_speed_worker import full_speed_worker
+from support.node_process import run_node_process, serve_journal
+from support.node_rig import ScriptedWorker, answer, run_node, succeed
 from support.usual_requests import UsualRequests
-from tests.apart import run_node_process, serve_journal
-from tests.nodes import ScriptedWorker, answer, run_node, succeed
 from tests.test_full_speed_clients import FLOOD_SECONDS, READY_SECONDS, USUAL_CLIENTS, call_node
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_function_bound.py
+++ b/tests/test_function_bound.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.nodes import run_node
+from support.node_rig import run_node
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_http_server_answers.py
+++ b/tests/test_http_server_answers.py
@@ -20,7 +20,7 @@
 from martenlead.events.server import Reply, Server, ServerLimits, listen
 from martenlead.events.server_interface import SECOND_NS
 from support.fleet import until
-from tests.nodes import reset_on_close
+from support.node_rig import reset_on_close
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_input_scheduler.py
+++ b/tests/test_input_scheduler.py
@@ -13,7 +13,7 @@
 from martenlead.node.input_scheduler import ITERATION_NS, InputScheduler
 from martenlead.node.received_messages import MESSAGES_PER_TURN
 from support.fleet import until
-from tests.nodes import Client, NodeRig, message, outcome_of, run_node, silent
+from support.node_rig import Client, NodeRig, message, outcome_of, run_node, silent
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_interruptions.py
+++ b/tests/test_interruptions.py
@@ -12,8 +12,8 @@
 from anyio.abc import SocketStream
 
 from support.fleet import until
+from support.node_rig import CONNECTION_ERRORS, frame, outcome_of, run_node, send_bytes, succeed
 from support.peers import PeerListener
-from tests.nodes import CONNECTION_ERRORS, frame, outcome_of, run_node, send_bytes, succeed
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -20,8 +20,7 @@
 from martenlead.events.client import Pool
 from martenlead.events.cloudevent import Event, encode_event
 from support.fleet import EdgeRig, ScriptedWorker, respond_ok, run_edge, until
-from support.virtual_time import PROCESS_TIME, follow_loop_time
-from tests.nodes import (
+from support.node_rig import (
     CONNECTION_ERRORS,
     SETTINGS,
     NodeRig,
@@ -30,6 +29,7 @@
     run_node,
     succeed,
 )
+from support.virtual_time import PROCESS_TIME, follow_loop_time
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -15,7 +15,7 @@
 import pytest
 
 from support.fleet import until
-from tests.nodes import record, run_node, succeed
+from support.node_rig import record, run_node, succeed
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_long_outages.py
+++ b/tests/test_long_outages.py
@@ -14,7 +14,7 @@
 
 from martenlead.policy import types as io
 from support.fleet import until
-from tests.nodes import (
+from support.node_rig import (
     CONNECTION_ERRORS,
     PipeliningClient,
     ScriptedJournal,
--- a/tests/test_membership_lists.py
+++ b/tests/test_membership_lists.py
@@ -12,7 +12,7 @@
 
 from martenlead.policy.types import WorkerFacts, WorkerState
 from support.fleet import until
-from tests.nodes import NodeRig, after_delay, frame, outcome_of, run_node, silent, succeed
+from support.node_rig import NodeRig, after_delay, frame, outcome_of, run_node, silent, succeed
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -12,7 +12,7 @@
 import pytest
 
 from support.fleet import until
-from tests.nodes import (
+from support.node_rig import (
     SETTINGS,
     after_delay,
     answer,
--- a/tests/test_node_codecs.py
+++ b/tests/test_node_codecs.py
@@ -13,7 +13,7 @@
 from martenlead.node import client_protocol, journal, worker_protocol
 from martenlead.node.received_messages import MESSAGES_PER_TURN, ReceivedMessages
 from martenlead.upstream.endpoints import EndpointUpdate
-from tests.nodes import answer, frame, message, record
+from support.node_rig import answer, frame, message, record
 
 TABLES = journal.JournalTables(["east", "west"], ["std"], {"std": 8000.0}, hides_weights=False)
 JSON_VALUES = st.recursive(
--- a/tests/test_platform_limits.py
+++ b/tests/test_platform_limits.py
@@ -18,7 +18,7 @@
 from anyio.abc import Process, SocketAttribute
 
 from support.fleet import until
-from tests.nodes import NodeRig, message, succeed
+from support.node_rig import NodeRig, message, succeed
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_production_terms.py
+++ b/tests/test_production_terms.py
@@ -22,8 +22,7 @@
 from martenlead.policy import types as io
 from support.fleet import ScriptedWorker as EdgeRunner
 from support.fleet import respond_ok, run_edge, until
-from support.virtual_time import PROCESS_TIME, follow_loop_time
-from tests.nodes import (
+from support.node_rig import (
     SETTINGS,
     Behaviour,
     NodeRig,
@@ -39,6 +38,7 @@
     silent,
     succeed,
 )
+from support.virtual_time import PROCESS_TIME, follow_loop_time
 from tests.play import MS, NON_IDEMPOTENT, ScriptedDispatcher
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -10,8 +10,8 @@
 import pytest
 
 from support.fleet import until
-from tests.apart import NodeProcess, run_node_process, serve_journal
-from tests.nodes import CONNECTION_ERRORS, Client, frame, succeed
+from support.node_process import NodeProcess, run_node_process, serve_journal
+from support.node_rig import CONNECTION_ERRORS, Client, frame, succeed
 
 pytestmark = pytest.mark.anyio
 READY_TIMEOUT_SECONDS = 10  # The platform's limit
--- a/tests/test_released_memory.py
+++ b/tests/test_released_memory.py
@@ -16,7 +16,7 @@
 
 from support.cyclic_garbage import collector_disabled, describe_garbage_buffers
 from support.fleet import until
-from tests.nodes import (
+from support.node_rig import (
     Behaviour,
     Client,
     NodeRig,
--- a/tests/test_repeat_window.py
+++ b/tests/test_repeat_window.py
@@ -9,7 +9,7 @@
 import anyio
 import pytest
 
-from tests.nodes import SETTINGS, Behaviour, NodeRig, after_delay, respond_with, run_node, succeed
+from support.node_rig import SETTINGS, Behaviour, NodeRig, after_delay, respond_with, run_node, succeed
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_request_timing.py
+++ b/tests/test_request_timing.py
@@ -11,7 +11,7 @@
 import pytest
 
 from support.fleet import until
-from tests.nodes import after_delay, outcome_of, run_node, succeed
+from support.node_rig import after_delay, outcome_of, run_node, succeed
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -19,7 +19,7 @@
 from martenlead.simulator_adapter.dispatcher import SimulatedDispatcher
 from martenlead.simulator_adapter.messages import Reply
 from martenlead.simulator_adapter.settings import Profile, SettingsError
-from tests.nodes import SETTINGS
+from support.node_rig import SETTINGS
 
 ABSENT: Any = object()
 INVALID: list[tuple[str, Any]] = [
--- a/tests/test_shutdown_beside_floods.py
+++ b/tests/test_shutdown_beside_floods.py
@@ -9,8 +9,8 @@
 import pytest
 
 from support.full_speed_client import full_speed_clients
-from tests.apart import run_node_process, serve_journal
-from tests.nodes import PipeliningClient
+from support.node_process import run_node_process, serve_journal
+from support.node_rig import PipeliningClient
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_shutdown_faults.py
+++ b/tests/test_shutdown_faults.py
@@ -19,8 +19,7 @@
 from anyio.abc import SocketStream
 
 from support.fleet import until
-from support.virtual_time import VIRTUAL_TIME, follow_loop_time
-from tests.nodes import (
+from support.node_rig import (
     CONNECTION_ERRORS,
     NodeRig,
     PipeliningClient,
@@ -33,6 +32,7 @@
     succeed,
     with_deadlines,
 )
+from support.virtual_time import VIRTUAL_TIME, follow_loop_time
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_stalled_loop.py
+++ b/tests/test_stalled_loop.py
@@ -18,8 +18,8 @@
 from anyio.abc import SocketAttribute
 
 from support.fleet import respond_ok, run_edge, until
+from support.node_rig import SETTINGS, Client, NodeRig, outcome_of, run_node, with_deadlines
 from support.virtual_time import VIRTUAL_TIME, VirtualTimeLoop, follow_loop_time
-from tests.nodes import SETTINGS, Client, NodeRig, outcome_of, run_node, with_deadlines
 
 pytestmark = pytest.mark.anyio
 virtual_time = pytest.mark.parametrize("anyio_backend", [VIRTUAL_TIME], ids=["virtual time"])
--- a/tests/test_stop_answers.py
+++ b/tests/test_stop_answers.py
@@ -14,8 +14,8 @@
 import anyio
 import pytest
 
-from tests.apart import PING_REQUEST, run_node_process
-from tests.nodes import CONNECTION_ERRORS, SETTINGS, Client, outcome_of, silent, succeed
+from support.node_process import PING_REQUEST, run_node_process
+from support.node_rig import CONNECTION_ERRORS, SETTINGS, Client, outcome_of, silent, succeed
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_system_call_faults.py
+++ b/tests/test_system_call_faults.py
@@ -29,9 +29,9 @@
 from martenlead.policy.types import Result
 from martenlead.system.sockets import has_ended, readable
 from support.fleet import respond_ok, run_edge, until
+from support.node_rig import Client, answer, outcome_of, run_node, send_bytes, succeed
 from support.planned import assert_prompt_responses, run_planned_edge, run_planner
 from support.socket_faults import SocketFaults, break_transport, from_port, send_bytewise, to_port
-from tests.nodes import Client, answer, outcome_of, run_node, send_bytes, succeed
 from tests.test_late_connections import unreachable_listener
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_unfinished_requests.py
+++ b/tests/test_unfinished_requests.py
@@ -16,11 +16,11 @@
 from martenlead.node.received_messages import MESSAGES_PER_TURN
 from support.fleet import after_delay, respond_ok, run_edge, until
 from support.full_speed_client import peak_mb
+from support.node_process import run_node_process, serve_journal
+from support.node_rig import message, outcome_of, run_node
 from support.program_process import OTHER_HTTP_PROGRAMS, run_edge_process, run_http_program
 from support.unfinished_clients import HALF_OF_A_MESSAGE, unfinished_clients
 from support.usual_requests import DEADLINE_SECONDS, UsualRequests
-from tests.apart import run_node_process, serve_journal
-from tests.nodes import message, outcome_of, run_node
 from tests.test_full_speed_clients import (
     CONNECTION_MB,
     EDGE_BASE_MB,
--- a/tests/test_wall_clock_steps.py
+++ b/tests/test_wall_clock_steps.py
@@ -23,10 +23,10 @@
 from martenlead.edge.knowledge_saver import KnowledgeSaver
 from martenlead.system import clocks
 from martenlead.upstream import endpoints
+from support import node_rig as nodes
 from support.fleet import EdgeRig, respond_ok, run_edge, until
+from support.node_rig import NodeRig, run_node, succeed
 from support.virtual_time import VIRTUAL_TIME, follow_loop_time
-from tests import nodes
-from tests.nodes import NodeRig, run_node, succeed
 from tests.test_worker_age import send_event_between_heartbeats
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_worker_age.py
+++ b/tests/test_worker_age.py
@@ -18,7 +18,7 @@
 from martenlead.system import clocks
 from martenlead.upstream.endpoints import Endpoint, EndpointUpdate
 from support.fleet import until
-from tests.nodes import NodeRig, run_node, succeed
+from support.node_rig import NodeRig, run_node, succeed
 
 MS = 1_000_000
 SECOND = 1000 * MS
--- a/tests/test_worker_connections.py
+++ b/tests/test_worker_connections.py
@@ -8,7 +8,7 @@
 import pytest
 
 from martenlead.node.connection_pool import ConnectionPool
-from tests.nodes import run_node, succeed
+from support.node_rig import run_node, succeed
 
 pytestmark = pytest.mark.anyio
 
